--- /dev/null
+++ b/coraldeal/__init__.py
@@ -0,0 +1,1 @@
+"""coraldeal: a load balancer for services that call services."""
--- /dev/null
+++ b/coraldeal/balance.py
@@ -0,0 +1,546 @@
+"""All decisions of coraldeal: which inquiries are let in, which server gets a trip, what answer ends an inquiry.
+
+How it is called: a protocol in front makes one `Balancer` for each node and calls one method for each thing that
+happens (`inquiry_arrived`, `trip_ended`, `servers_listed`, ...). The balancer acts at once by calling the `Host` that
+it was handed. Both sides of that border are in coraldeal/interface.py; nothing else goes in or out.
+
+The design (docs/design.md): core tracks pass unmetered; any other inquiry takes a token within a short wait or is
+dropped; it is then held until the next server of the rotation is under its learned cap.
+
+Mechanisms beside the design, six at most:
+1. rest: a server that does badly at a cap of one, worse than the fleet's median, leaves the rotation for a while;
+2. overdue: a server whose oldest trip is overdue gets no further work until that trip has ended;
+3. credit: a further trip goes only to a server whose answers have earned it, after a trip time-out learned from answers;
+4. shares: what a tenant sends beyond its share is worth less, comes last and leaves half the bucket to others;
+5. cold budget: a server that has just started gets trips at a rate within the rule;
+6. last call: an inquiry that can no longer be satisfied in time is answered at once and takes no place.
+"""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from zlib import crc32
+
+from coraldeal.interface import (
+    Condition,
+    Effect,
+    Entry,
+    Group,
+    Host,
+    InquiryId,
+    ListKind,
+    Outcome,
+    ServerId,
+    Settings,
+    Track,
+)
+
+SECOND = 1_000_000
+SWEEP = SECOND // 4
+
+
+class TrackState:
+    """What is learned of a track, for the life of the instance."""
+
+    __slots__ = ("track", "core", "useful_us", "median", "slow", "base", "in_time", "longest_left")
+
+    def __init__(self, track: Track, core: bool) -> None:
+        self.track = track
+        self.core = core
+        self.useful_us = track.patience_us if track.late_payoff > 0 else track.expected_time_us
+        # Latencies in microseconds: the median, a slow one (nine in ten are faster), and the median when all is well.
+        self.median = self.useful_us / 8
+        self.slow = self.useful_us / 3
+        self.base = self.median
+        self.in_time = 2 * self.base
+        self.longest_left = 0
+
+    def learn(self, latency: int, answered: bool) -> None:
+        """Move the two quantiles a small step towards what a trip took; a trip without answer counts as slow."""
+        self.slow *= 1.036 if latency > self.slow else 0.996
+        if answered:
+            self.median *= 1.02 if latency > self.median else 0.98
+
+
+class Server:
+    """What is known of a server, for as long as its process lives."""
+
+    __slots__ = (
+        "name",
+        "zone",
+        "cell",
+        "heft",
+        "cap",
+        "trips",
+        "fail_share",
+        "strikes",
+        "rest_until",
+        "credit",
+        "born",
+        "warm_at",
+        "cold_tokens",
+        "cold_at",
+    )
+
+    def __init__(self, entry: Entry, cap: int, warm_after: int, now: int) -> None:
+        self.name = entry.server
+        self.zone = entry.zone
+        self.cell = entry.cell
+        self.heft = entry.heft
+        self.cap = cap
+        self.trips: dict[tuple[InquiryId, int], Trip] = {}
+        self.fail_share = 0.0
+        self.strikes = 0
+        self.rest_until = 0
+        self.credit = 1.0
+        self.born = entry.born_us
+        self.warm_at = entry.born_us + warm_after if entry.born_us else 0
+        self.cold_tokens = 1.0
+        self.cold_at = now
+
+
+class Inquiry:
+    """One inquiry, from its arrival to its final answer."""
+
+    __slots__ = ("name", "state", "worth", "end", "trips", "out", "ran_on", "ran_at", "over")
+
+    def __init__(self, name: InquiryId, state: TrackState, worth: float, end: int) -> None:
+        self.name = name
+        self.state = state
+        self.worth = worth
+        self.end = end
+        self.trips = 0
+        self.out: Trip | None = None
+        # The first trip that may have run: its server and when it was sent.
+        self.ran_on: Server | None = None
+        self.ran_at = 0
+        self.over = False
+
+
+class Trip:
+    """One try at an inquiry, from its sending to its end."""
+
+    __slots__ = ("inquiry", "number", "server", "sent_at", "overdue_at", "filled")
+
+    def __init__(self, inquiry: Inquiry, server: Server, now: int) -> None:
+        self.inquiry = inquiry
+        self.number = inquiry.trips
+        self.server = server
+        self.sent_at = now
+        self.overdue_at = now + int(2 * inquiry.state.slow)
+        self.filled = len(server.trips) + 1 >= server.cap
+
+
+class Balancer:
+    """The decisions of one node."""
+
+    def __init__(self, host: Host, settings: Settings, seed: int) -> None:
+        self.host = host
+        self.seed = seed
+        self.draws = 0
+        # Settings, as the few figures that decisions use.
+        payoffs = [track.payoff for track in settings.tracks]
+        self.core_worth = sum(payoffs) / max(1, len(payoffs))
+        self.tracks = {t.name: TrackState(t, t.payoff > self.core_worth) for t in settings.tracks}
+        self.front = settings.layer == 0
+        self.max_trips = settings.max_trips
+        self.may_withdraw = settings.may_withdraw
+        self.max_pause = settings.max_pause_us if settings.may_advise_pause else 0
+        self.margin = max(2 * settings.tick_us, 5_000)
+        self.token_wait = max(2 * settings.tick_us, 10_000)
+        self.list_is_asked = settings.list_is_asked
+        self.list_wait_most = max(SECOND, settings.ask_every_us // 5)
+        self.list_wait = SECOND // 4
+        self.beyond = settings.beyond_share_payoff
+        self.share_rate = {t.name: t.quota_per_s / settings.instances / SECOND for t in settings.tenants}
+        self.share_part = {t.name: t.fraction for t in settings.tenants}
+        self.warm_after = settings.warm_after_us
+        self.cold_from = settings.cold_from
+        self.fall_multiple = settings.fall_multiple
+        self.fall_us = settings.fall_us
+        # State of the instance.
+        self.servers: dict[ServerId, Server] = {}
+        self.rotation: list[Server] = []
+        self.turn = 0
+        self.inquiries: dict[InquiryId, Inquiry] = {}
+        self.trips: dict[tuple[InquiryId, int], Trip] = {}
+        self.held: list[tuple[float, int, Inquiry]] = []
+        self.last_calls: list[tuple[int, int, Inquiry]] = []
+        self.order = 0
+        self.watching_held = False
+        self.share_tokens = {t.name: (1.0, host.now) for t in settings.tenants}
+        # The bucket: rates are tokens a microsecond. It starts open, until own arrivals are known.
+        self.started = host.now
+        self.metered = 0
+        self.sent = 0
+        self.arrival_rate = 0.0
+        self.send_rate = 0.0
+        self.rate = 1000 / SECOND
+        self.burst = 100.0
+        self.tokens = self.burst
+        self.refilled_at = host.now
+        self.median_fail_share = 0.0
+        host.wake("sweep", SWEEP)
+        if self.list_is_asked:
+            host.wake("list", int(self._chance() * self.list_wait_most))
+
+    # An inquiry's path.
+
+    def inquiry_arrived(
+        self, name: InquiryId, track: str, tenant: str | None, left_us: int, repeat: bool
+    ) -> None:
+        """A new inquiry: let in or dropped, then sent or held."""
+        now = self.host.now
+        state = self.tracks[track]
+        # What it is worth now: a track's payoff, or little of it beyond the tenant's share.
+        within = tenant is None or self._within_share(tenant, now)
+        worth = state.track.payoff * (1.0 if within else self.beyond)
+        # Until when an answer is worth anything. A try that has less time left than others of its track is a
+        # later one; the client has waited for the rest of its patience already.
+        useful = state.useful_us
+        if left_us >= state.longest_left:
+            state.longest_left = left_us
+        elif self.front:
+            useful -= max(0, state.track.patience_us - left_us)
+        inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
+        self.inquiries[name] = inquiry
+        if inquiry.end - now < state.base:
+            self._conclude(inquiry, self.max_pause)
+            return
+        # Core inquiries pass; any other takes a token within a short wait or is dropped.
+        if worth <= self.core_worth:
+            self.metered += 1
+            wait = self._take_token(within, now)
+            if wait < 0:
+                self._conclude(inquiry, int(state.median))
+                return
+            if wait > 0:
+                self.host.wake(f"token {name}", wait)
+                return
+        # Let in: to the next server of the rotation that is under its cap, or held until there is one.
+        server = self._next_server(inquiry, now)
+        if server is None:
+            self._hold(inquiry, now)
+        else:
+            self._send(inquiry, server, now)
+
+    def answer_started(self, name: InquiryId, number: int, latency_us: int) -> None:
+        """A streamed answer has begun: the trip is the client's now, its times no longer count."""
+        trip = self.trips.get((name, number))
+        if trip is not None:
+            trip.overdue_at = trip.inquiry.end = 1 << 62
+
+    def trip_ended(
+        self,
+        name: InquiryId,
+        number: int,
+        outcome: Outcome,
+        latency_us: int,
+        over: bool,
+        report: dict[str, float] | None,
+    ) -> None:
+        """A trip has its outcome: judge the server, then go on with the inquiry where it is not over."""
+        now = self.host.now
+        trip = self.trips.pop((name, number), None)
+        if trip is None:
+            return
+        del trip.server.trips[name, number]
+        self._judge(trip, outcome, latency_us, now)
+        inquiry = trip.inquiry
+        inquiry.out = None
+        if over and not inquiry.over:
+            self._forget(inquiry)
+        elif not inquiry.over:
+            if not outcome.proved_not_run and inquiry.ran_on is None:
+                inquiry.ran_on, inquiry.ran_at = trip.server, trip.sent_at
+            if self._may_go_again(inquiry, now):
+                server = self._next_server(inquiry, now)
+                if server is None:
+                    self._hold(inquiry, now)
+                else:
+                    self._send(inquiry, server, now)
+            else:
+                self._conclude(inquiry, int(inquiry.state.median))
+        self._fill(now)
+
+    def client_left(self, name: InquiryId) -> None:
+        """The client has gone: nothing is owed, and what is out for it is called off."""
+        inquiry = self.inquiries.get(name)
+        if inquiry is None:
+            return
+        self._forget(inquiry)
+        if inquiry.out is not None and self.may_withdraw:
+            self.host.withdraw(name, inquiry.out.number)
+
+    def alarm(self, token: str) -> None:
+        """A time asked for with `wake` has come."""
+        now = self.host.now
+        if token == "sweep":
+            self._sweep(now)
+        elif token == "held":
+            self._watch_held(now)
+        elif token == "list":
+            self.host.follow_list()
+        elif token.startswith("token "):
+            inquiry = self.inquiries.get(int(token[6:]))
+            if inquiry is not None:
+                server = self._next_server(inquiry, now)
+                if server is None:
+                    self._hold(inquiry, now)
+                else:
+                    self._send(inquiry, server, now)
+
+    def probe_ended(
+        self, server: ServerId, outcome: Outcome, latency_us: int, report: dict[str, float] | None
+    ) -> None:
+        """Probes are not used so far."""
+
+    # The list of servers.
+
+    def servers_listed(self, kind: ListKind, entries: list[Entry]) -> None:
+        """The list, or changes of it, as told. A server that drains or is gone leaves the rotation at once."""
+        now = self.host.now
+        if kind is not ListKind.REMEMBERED:
+            self.list_wait = SECOND // 4
+        told: dict[ServerId, Server] = {} if kind is not ListKind.CHANGES else dict(self.servers)
+        mean_cap = round(sum(s.cap for s in self.rotation) / len(self.rotation)) if self.rotation else 2
+        for entry in entries:
+            if entry.condition is not Condition.READY:
+                told.pop(entry.server, None)
+                continue
+            known = self.servers.get(entry.server)
+            if known is None or known.born < entry.born_us:
+                # A restart under the same id is a new, cold server.
+                known = Server(entry, mean_cap, self.warm_after, now)
+            told[entry.server] = known
+        self.servers = told
+        self.rotation = list(told.values())
+        # The order is this node's own and random, so that nodes do not send in step.
+        self.rotation.sort(key=lambda s: crc32(f"{self.seed} {s.name}".encode()))
+        if self.turn >= len(self.rotation):
+            self.turn = 0
+        self._fill(now)
+
+    def list_failed(self) -> None:
+        """The list did not answer or broke off: ask again after a growing wait, not in step with other nodes."""
+        self.host.log(f"list of servers failed; asking again in about {self.list_wait // 1000} ms")
+        self.host.wake("list", int(self.list_wait * (0.5 + self._chance())))
+        self.list_wait = min(2 * self.list_wait, self.list_wait_most)
+
+    # Admission.
+
+    def _within_share(self, tenant: str, now: int) -> bool:
+        """Count an inquiry against its tenant's share of what this node sees."""
+        if tenant not in self.share_rate:
+            return True
+        rate = self.share_rate[tenant] if self.front else self.share_part[tenant] * self.arrival_rate
+        tokens, since = self.share_tokens[tenant]
+        tokens = min(max(2.0, rate * SECOND), tokens + (now - since) * rate)
+        within = tokens >= 1
+        self.share_tokens[tenant] = (tokens - 1 if within else tokens, now)
+        return within
+
+    def _take_token(self, within: bool, now: int) -> int:
+        """Take or reserve a token; the wait for it, or -1 where it would be too long."""
+        self.tokens = min(self.burst, self.tokens + (now - self.refilled_at) * self.rate)
+        self.refilled_at = now
+        # One tenant's surge must not drain the bucket for all: beyond a share, half of it stays untouched.
+        short = (1.0 if within else 1.0 + self.burst / 2) - self.tokens
+        wait = int(short / self.rate) + 1 if short > 0 else 0
+        if wait > self.token_wait:
+            return -1
+        self.tokens -= 1
+        return wait
+
+    def _fell(self) -> None:
+        self.rate *= 0.98
+
+    def _rose(self) -> None:
+        self.rate += self.arrival_rate * 0.005
+
+    # The rotation.
+
+    def _next_server(self, inquiry: Inquiry, now: int) -> Server | None:
+        """The next server in the rotation that may take this inquiry's next trip."""
+        rotation, turn = self.rotation, self.turn
+        further = inquiry.trips > 0
+        for _ in range(len(rotation)):
+            server = rotation[turn]
+            turn = turn + 1 if turn + 1 < len(rotation) else 0
+            trips = server.trips
+            if len(trips) >= server.cap or server.rest_until > now:
+                continue
+            if trips and next(iter(trips.values())).overdue_at <= now:
+                continue
+            if further and (server.credit < 1 or not self._in_group(inquiry, server)):
+                continue
+            if server.warm_at > now and not self._cold_room(server, now):
+                continue
+            self.turn = turn
+            return server
+        return None
+
+    def _send(self, inquiry: Inquiry, server: Server, now: int) -> None:
+        timeout = inquiry.end - now
+        if inquiry.trips > 0:
+            server.credit -= 1
+        # A silent server must not hold the inquiry to its end, if it could go elsewhere after that.
+        track = inquiry.state.track
+        patient = int(3 * inquiry.state.slow)
+        if track.effect is not Effect.IRREVERSIBLE and inquiry.trips + 1 < self.max_trips:
+            if timeout - patient > inquiry.state.median:
+                timeout = patient
+        trip = Trip(inquiry, server, now)
+        key = inquiry.name, trip.number
+        self.trips[key] = server.trips[key] = trip
+        inquiry.trips += 1
+        inquiry.out = trip
+        self.sent += 1
+        if server.warm_at > now:
+            server.cold_tokens -= 1
+        self.host.send(inquiry.name, server.name, timeout)
+
+    def _hold(self, inquiry: Inquiry, now: int) -> None:
+        """Hold by worth, then in order of arrival."""
+        self.order += 1
+        heappush(self.held, (-inquiry.worth, self.order, inquiry))
+        heappush(self.last_calls, (inquiry.end - int(inquiry.state.median), self.order, inquiry))
+        if not self.watching_held:
+            self.watching_held = True
+            self.host.wake("held", self.token_wait)
+
+    def _fill(self, now: int) -> None:
+        """Give free places to held inquiries."""
+        held = self.held
+        aside = []
+        while held:
+            inquiry = held[0][2]
+            if inquiry.over or inquiry.out is not None:
+                heappop(held)
+                continue
+            server = self._next_server(inquiry, now)
+            if server is not None:
+                heappop(held)
+                self._send(inquiry, server, now)
+            elif inquiry.trips > 0 and len(aside) < 8:
+                # Where only this one's choice of servers is narrow, the next may still be placed.
+                aside.append(heappop(held))
+            else:
+                break
+        for item in aside:
+            heappush(held, item)
+
+    def _watch_held(self, now: int) -> None:
+        """Last calls: what cannot be satisfied in time any more is answered now."""
+        self._fill(now)
+        while self.last_calls and self.last_calls[0][0] <= now:
+            inquiry = heappop(self.last_calls)[2]
+            if not inquiry.over and inquiry.out is None:
+                if inquiry.worth <= self.core_worth:
+                    self._fell()
+                self._conclude(inquiry, int(inquiry.state.median))
+        self.watching_held = bool(self.held)
+        if self.held:
+            self.host.wake("held", self.token_wait)
+        else:
+            self.last_calls.clear()
+
+    def _cold_room(self, server: Server, now: int) -> bool:
+        """A budget of trips for a cold server, by what a warm one is sent; other nodes are taken to send alike."""
+        warmth = self.cold_from + (1 - self.cold_from) * (now - server.born) / self.warm_after
+        per_server = self.send_rate / max(1, len(self.rotation))
+        rate = 0.5 * self.fall_multiple * warmth * per_server
+        server.cold_tokens = min(max(1.0, rate * self.fall_us / 4), server.cold_tokens + (now - server.cold_at) * rate)
+        server.cold_at = now
+        return server.cold_tokens >= 1
+
+    # What a trip's end tells.
+
+    def _judge(self, trip: Trip, outcome: Outcome, latency: int, now: int) -> None:
+        server, state = trip.server, trip.inquiry.state
+        if outcome is Outcome.WITHDRAWN and now >= trip.overdue_at:
+            # The client left while a silent server held its trip.
+            outcome = Outcome.TIMEOUT
+        if outcome is Outcome.SATISFIED:
+            state.learn(latency, True)
+            server.strikes = 0
+            server.fail_share *= 0.8
+            server.credit = min(4.0, server.credit + 0.1)
+            self._rose()
+            if latency <= state.in_time:
+                # A cap rises only where it was used up: otherwise the answer says nothing about it.
+                if trip.filled:
+                    server.cap += 1
+            elif server.cap == 1:
+                server.rest_until = max(server.rest_until, now + int(latency - state.in_time))
+        elif outcome not in (Outcome.WITHDRAWN, Outcome.MOOT):
+            if outcome is Outcome.TIMEOUT:
+                state.learn(latency, False)
+            lowest = server.cap == 1
+            server.cap = max(1, server.cap // 2)
+            server.fail_share += 0.2 * (1 - server.fail_share)
+            self._fell()
+            if lowest and server.fail_share > self.median_fail_share:
+                server.strikes += 1
+                server.rest_until = now + int(state.median * 2 ** min(server.strikes, 5))
+                if server.strikes == 3:
+                    self.host.log(f"resting {server.name}: {outcome.value}, fail share {server.fail_share:.2f}")
+
+    def _may_go_again(self, inquiry: Inquiry, now: int) -> bool:
+        """Whether rules and time allow a further trip."""
+        if inquiry.trips >= self.max_trips or inquiry.end - now < inquiry.state.median:
+            return False
+        if inquiry.ran_on is None or inquiry.state.track.effect is Effect.REDOABLE:
+            return True
+        return inquiry.state.track.effect is Effect.LABELLED and now < inquiry.ran_at + inquiry.state.track.window_us
+
+    def _in_group(self, inquiry: Inquiry, server: Server) -> bool:
+        """Whether a further trip to this server keeps the rule on effects."""
+        first, track = inquiry.ran_on, inquiry.state.track
+        if first is None or track.effect is Effect.REDOABLE:
+            return True
+        if self.host.now >= inquiry.ran_at + track.window_us - self.margin:
+            return False
+        if track.group is Group.CELL:
+            return server.cell == first.cell
+        return track.group is Group.ALL or server.zone == first.zone
+
+    def _conclude(self, inquiry: Inquiry, pause: int) -> None:
+        """The final answer: at the front a deferral where a repeat does no harm, else a give-up."""
+        track = inquiry.state.track
+        harmless = (
+            inquiry.ran_on is None
+            or track.effect is Effect.REDOABLE
+            or (track.effect is Effect.LABELLED and track.group is Group.ALL)
+        )
+        self._forget(inquiry)
+        if self.front and harmless:
+            self.host.defer(inquiry.name, min(pause, self.max_pause))
+        else:
+            self.host.give_up(inquiry.name)
+
+    def _forget(self, inquiry: Inquiry) -> None:
+        inquiry.over = True
+        del self.inquiries[inquiry.name]
+
+    # What goes on in the background.
+
+    def _sweep(self, now: int) -> None:
+        """Four times a second: rates, the bucket's size, what counts as in time, the fleet's median."""
+        self.host.wake("sweep", SWEEP)
+        weight = 0.5 if now - self.started < 2 * SECOND else 0.1
+        self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
+        self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
+        self.metered = self.sent = 0
+        floor = self.arrival_rate * (0.1 if self.front else 0.5)
+        self.rate = max(floor, min(self.rate, 2 * self.arrival_rate), 1 / SECOND)
+        self.burst = max(2.0, self.rate * SECOND / 4)
+        for state in self.tracks.values():
+            state.base = min(state.base * 1.008, state.median)
+            state.in_time = 2 * state.base + self.margin
+        shares = sorted(server.fail_share for server in self.rotation)
+        self.median_fail_share = shares[len(shares) // 2] if shares else 0.0
+
+    def _chance(self) -> float:
+        self.draws += 1
+        return crc32(f"{self.seed} {self.draws}".encode()) / 2**32
--- /dev/null
+++ b/coraldeal/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire before the decisions of coraldeal.balance."""
--- /dev/null
+++ b/coraldeal/benchlink/link.py
@@ -0,0 +1,291 @@
+"""Wire text to calls on a balancer, and the balancer's acts to wire text. No decision is taken here.
+
+Nanoseconds become whole microseconds on the way in, rounded down, so that an end is never seen late.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable
+from typing import BinaryIO, TextIO
+
+from coraldeal.balance import Balancer
+from coraldeal.benchlink.settings import SettingsError, read_settings
+from coraldeal.interface import Condition, Entry, ListKind, Outcome
+
+OUTCOMES = {
+    "10": Outcome.SATISFIED,
+    "20": Outcome.ERROR,
+    "30": Outcome.FULL,
+    "40": Outcome.TIMEOUT,
+    "50": Outcome.CONNECT_FAILED,
+    "60": Outcome.RESET,
+    "70": Outcome.WITHDRAWN,
+    "80": Outcome.MOOT,
+}
+CONDITIONS = {"live": Condition.READY, "quiescing": Condition.DRAINING, "dead": Condition.GONE}
+KINDS = {"delta": ListKind.CHANGES, "full": ListKind.WHOLE, "cached": ListKind.REMEMBERED}
+FLAGS = {"0": False, "1": True, "-": False}
+REPEAT_BIT = 2
+
+
+class WireError(Exception):
+    """The input is not as the wire's page says."""
+
+
+class ModuleFault(Exception):
+    """The decisions could not go on; the text is for the wire."""
+
+
+class Node:
+    """One instance: the host that its balancer acts through, writing each act straight as a line."""
+
+    __slots__ = ("now", "out", "name", "link", "balancer")
+
+    def __init__(self, link: Link, name: str) -> None:
+        self.link = link
+        self.name = name
+        self.now = 0
+        self.out: list[str] = []
+        self.balancer: Balancer | None = None
+
+    def send(self, inquiry: int, server: str, timeout_us: int) -> None:
+        self.out.append(f"dispatch\t{inquiry}\t{server}\t{timeout_us * 1000}")
+
+    def defer(self, inquiry: int, pause_us: int) -> None:
+        self.out.append(f"decline\t{inquiry}\t{pause_us * 1000}")
+
+    def give_up(self, inquiry: int) -> None:
+        self.out.append(f"error\t{inquiry}")
+
+    def withdraw(self, inquiry: int, trip: int) -> None:
+        self.out.append(f"withdraw\t{inquiry}\t{trip}")
+
+    def probe(self, server: str) -> None:
+        self.out.append(f"touch\t{server}")
+
+    def wake(self, token: str, after_us: int) -> None:
+        self.out.append(f"schedule\t{token}\t{after_us * 1000}")
+
+    def follow_list(self) -> None:
+        self.out.append("stream_changes\t1")
+
+    def log(self, text: str) -> None:
+        self.out.append(f"journal_line\t{text}")
+
+
+class Link:
+    """Reads batches and hands each line to the method that is named for it in HANDLERS."""
+
+    def __init__(self, source: BinaryIO, sink: BinaryIO) -> None:
+        self.source = source
+        self.sink = sink
+        self.line_number = 0
+        self.now = 0
+        self.nodes: dict[str, Node] = {}
+        self.sheets: dict[str, list[Entry]] = {}
+        self.node: Node | None = None
+        self.reply: list[str] = []
+
+    def run(self) -> None:
+        readline, handlers = self.source.readline, HANDLERS
+        while self._next_batch(readline):
+            while True:
+                raw = readline()
+                self.line_number += 1
+                if not raw.endswith(b"\n"):
+                    raise WireError("input ends inside a batch")
+                line = raw.decode()[:-1]
+                if line == "your_turn":
+                    break
+                name, _, rest = line.partition("\t")
+                handler = handlers.get(name)
+                if handler is None:
+                    raise WireError(f"unknown message {name[:40]!r}")
+                handler(self, rest)
+            self._flush_node()
+            self.node = None
+            self.reply.append("end\n")
+            self.sink.write("\n".join(self.reply).encode())
+            self.sink.flush()
+            self.reply.clear()
+
+    def _next_batch(self, readline: Callable[[], bytes]) -> bool:
+        raw = readline()
+        self.line_number += 1
+        if not raw:
+            return False
+        parts = raw.decode().rstrip("\n").split("\t")
+        if len(parts) != 2 or parts[0] != "turn" or not raw.endswith(b"\n"):
+            raise WireError("a batch must open with 'turn' and the clock")
+        self.now = int(parts[1]) // 1000
+        return True
+
+    def _flush_node(self) -> None:
+        node = self.node
+        if node is not None and node.out:
+            self.reply.append(f"by\t{node.name}")
+            self.reply += node.out
+            node.out.clear()
+
+    def _fields(self, rest: str, count: int) -> list[str]:
+        fields = rest.split("\t")
+        if len(fields) != count:
+            raise WireError(f"{count} values wanted, {len(fields) if rest else 0} found")
+        return fields
+
+    def _current(self) -> Balancer:
+        if self.node is None or self.node.balancer is None:
+            raise WireError("an event before 'context' and 'boot'")
+        return self.node.balancer
+
+    def context(self, rest: str) -> None:
+        self._flush_node()
+        (name,) = self._fields(rest, 1)
+        int(name)
+        node = self.nodes.get(name)
+        if node is None:
+            node = self.nodes[name] = Node(self, name)
+        node.now = self.now
+        self.node = node
+
+    def boot(self, rest: str) -> None:
+        node = self.node
+        if node is None:
+            raise WireError("'boot' before 'context'")
+        seed, text = (rest.split("\t", 1) + [""])[:2]
+        try:
+            settings = read_settings(text)
+        except SettingsError as error:
+            raise ModuleFault(str(error)) from None
+        node.balancer = Balancer(node, settings, int(seed))
+
+    def destroy(self, rest: str) -> None:
+        if self.node is None:
+            raise WireError("'destroy' before 'context'")
+        self.node.balancer = None
+        self.node.out.clear()
+
+    def define_list(self, rest: str) -> None:
+        sheet, count = self._fields(rest, 2)
+        entries = []
+        for _ in range(int(count)):
+            raw = self.source.readline()
+            self.line_number += 1
+            if not raw.startswith(b"row\t"):
+                raise WireError("'row' wanted: the list is shorter than it says")
+            row = self._fields(raw.decode().rstrip("\n")[4:], 7)
+            if row[4] not in CONDITIONS:
+                raise WireError(f"unknown condition {row[4][:40]!r}")
+            born = 0 if row[6] == "-" else int(row[6]) // 1000
+            entries.append(Entry(row[0], row[1], int(row[3]), CONDITIONS[row[4]], float(row[5]), born))
+        self.sheets[sheet] = entries
+
+    def backends_changed(self, rest: str) -> None:
+        sheet, _, kind = self._fields(rest, 3)
+        balancer = self._current()
+        if kind == "failed":
+            balancer.list_failed()
+        elif kind not in KINDS:
+            raise WireError(f"unknown list kind {kind[:40]!r}")
+        elif sheet not in self.sheets:
+            raise WireError(f"list {sheet[:40]} was never defined")
+        else:
+            balancer.servers_listed(KINDS[kind], self.sheets[sheet])
+
+    def ask(self, rest: str) -> None:
+        inquiry, track, tenant, left, _, hint, marks = self._fields(rest, 7)
+        bits = 0 if marks == "-" else int(marks)
+        self._current().inquiry_arrived(
+            int(inquiry), track, None if tenant in ("-", "0") else tenant, int(left) // 1000, bool(bits & REPEAT_BIT)
+        )
+
+    def headers(self, rest: str) -> None:
+        inquiry, trip, _, latency = self._fields(rest, 4)
+        self._current().answer_started(int(inquiry), int(trip), int(latency) // 1000)
+
+    def answer(self, rest: str) -> None:
+        inquiry, trip, _, code, latency, over, gauge = self._fields(rest, 7)
+        if code not in OUTCOMES or over not in FLAGS:
+            raise WireError(f"unknown code or flag {code[:20]!r}, {over[:20]!r}")
+        self._current().trip_ended(
+            int(inquiry), int(trip), OUTCOMES[code], int(latency) // 1000, FLAGS[over], _report(gauge)
+        )
+
+    def hangup(self, rest: str) -> None:
+        (inquiry,) = self._fields(rest, 1)
+        self._current().client_left(int(inquiry))
+
+    def bell(self, rest: str) -> None:
+        (token,) = self._fields(rest, 1)
+        self._current().alarm(token)
+
+    def check_result(self, rest: str) -> None:
+        server, code, latency, gauge = self._fields(rest, 4)
+        if code not in OUTCOMES:
+            raise WireError(f"unknown code {code[:20]!r}")
+        self._current().probe_ended(server, OUTCOMES[code], int(latency) // 1000, _report(gauge))
+
+    def inbox(self, rest: str) -> None:
+        """Nodes share nothing here: read, checked for its form, and dropped."""
+        self._fields(rest, 2)
+
+
+def _report(gauge: str) -> dict[str, float] | None:
+    if gauge == "-" or not gauge:
+        return None
+    return {name: float(value) for name, _, value in (pair.partition(":") for pair in gauge.split(","))}
+
+
+HANDLERS: dict[str, Callable[[Link, str], None]] = {
+    "context": Link.context,
+    "boot": Link.boot,
+    "destroy": Link.destroy,
+    "define_list": Link.define_list,
+    "backends_changed": Link.backends_changed,
+    "ask": Link.ask,
+    "headers": Link.headers,
+    "reply": Link.answer,
+    "hangup": Link.hangup,
+    "bell": Link.bell,
+    "check_result": Link.check_result,
+    "inbox": Link.inbox,
+}
+
+
+def _blame(error: BaseException) -> str:
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].name}, line {frames[-1].lineno}" if frames else "unknown place"
+    return f"{type(error).__name__} in {place}: {str(error)[:200]}".replace("\n", " ")
+
+
+def _in_module(error: BaseException) -> bool:
+    """True when the trouble arose in the decisions and not in reading the wire."""
+    return any(frame.filename.endswith("balance.py") for frame in traceback.extract_tb(error.__traceback__))
+
+
+def serve(source: BinaryIO, sink: BinaryIO, errors: TextIO) -> int:
+    """Play the bench's batches until the input ends; the exit status is 0 only if all went well."""
+    link = Link(source, sink)
+
+    def report_bug(text: str) -> None:
+        name = link.node.name if link.node else "0"
+        sink.write(f"by\t{name}\nbug\t{text}\nend\n".encode())
+        sink.flush()
+
+    try:
+        link.run()
+    except ModuleFault as fault:
+        report_bug(str(fault))
+        print(f"line {link.line_number}: {fault}", file=errors)
+        return 1
+    except Exception as error:
+        if _in_module(error):
+            report_bug(_blame(error))
+            traceback.print_exc(file=errors)
+        elif isinstance(error, (WireError, ValueError)):
+            print(f"line {link.line_number}: {error}", file=errors)
+        else:
+            raise
+        return 1
+    return 0
--- /dev/null
+++ b/coraldeal/benchlink/settings.py
@@ -0,0 +1,117 @@
+"""Settings as the wire sends them, turned into the types of coraldeal.interface."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from coraldeal.interface import Effect, Group, Settings, Tenant, Track
+
+EFFECTS = {"retryable": Effect.REDOABLE, "dedup": Effect.LABELLED, "fragile": Effect.IRREVERSIBLE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+class SettingsError(Exception):
+    """A required key is missing or holds a value that cannot be used."""
+
+
+class _Reader:
+    """Reads keys of one JSON object and names the full path of a key that is not as it must be."""
+
+    def __init__(self, values: Any, path: str = "") -> None:
+        self.path = path
+        if not isinstance(values, dict):
+            raise SettingsError(f"{path.rstrip('.') or 'settings'} is not an object")
+        self.values = values
+
+    def _get(self, key: str, kinds: tuple[type, ...], what: str) -> Any:
+        if key not in self.values:
+            raise SettingsError(f"setting {self.path}{key} is missing")
+        value = self.values[key]
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise SettingsError(f"setting {self.path}{key} is not {what}")
+        return value
+
+    def whole(self, key: str) -> int:
+        return int(self._get(key, (int,), "a whole number"))
+
+    def number(self, key: str) -> float:
+        return float(self._get(key, (int, float), "a number"))
+
+    def flag(self, key: str) -> bool:
+        return bool(self._get(key, (bool,), "true or false"))
+
+    def text(self, key: str) -> str:
+        return str(self._get(key, (str,), "text"))
+
+    def word(self, key: str, words: dict[str, Any]) -> Any:
+        value = self.text(key)
+        if value not in words:
+            raise SettingsError(f"setting {self.path}{key} has the unknown value {value!r}")
+        return words[value]
+
+    def micros(self, key: str) -> int:
+        return self.whole(key) // 1000
+
+    def part(self, key: str) -> _Reader:
+        return _Reader(self._get(key, (dict,), "an object"), f"{self.path}{key}.")
+
+    def parts(self, key: str) -> list[_Reader]:
+        items = self._get(key, (list,), "a list")
+        return [_Reader(item, f"{self.path}{key}[{i}].") for i, item in enumerate(items)]
+
+
+def _track(reader: _Reader) -> Track:
+    effect = reader.word("effect", EFFECTS)
+    labelled = effect is Effect.LABELLED
+    return Track(
+        name=reader.text("name"),
+        effect=effect,
+        group=reader.word("group", GROUPS) if labelled else Group.ALL,
+        window_us=reader.micros("window_ns") if labelled else 0,
+        expected_time_us=reader.micros("expected_time_ns"),
+        patience_us=reader.micros("patience_ns"),
+        payoff=reader.number("payoff"),
+        late_payoff=reader.number("late_payoff"),
+    )
+
+
+def _tenant(reader: _Reader) -> Tenant:
+    return Tenant(reader.text("name"), reader.number("fraction"), reader.number("quota_per_s"))
+
+
+def read_settings(text: str) -> Settings:
+    """Settings from the JSON text of a `boot` line; unknown keys are passed over."""
+    try:
+        top = _Reader(json.loads(text))
+    except ValueError as error:
+        raise SettingsError(f"settings are not JSON: {error}") from None
+    bounds, rules, reporting = top.part("bounds"), top.part("rules"), top.part("reporting")
+    specifics = top.values.get("specifics")
+    carries = isinstance(specifics, dict) and specifics.get("passes_deadline") is True
+    asked = top.word("discovery", {"ask": True, "push": False})
+    return Settings(
+        layer=top.whole("layer"),
+        instances=max(1, top.whole("instances")),
+        tick_us=top.micros("tick_ns"),
+        zone=top.text("zone"),
+        tracks=[_track(reader) for reader in top.parts("tracks")],
+        tenants=[_tenant(reader) for reader in top.parts("tenants")],
+        beyond_share_payoff=top.number("beyond_share_payoff"),
+        list_is_asked=asked,
+        ask_every_us=rules.micros("ask_every_ns") if asked else 0,
+        max_trips=bounds.whole("max_trips"),
+        may_duplicate=bounds.flag("may_duplicate"),
+        may_withdraw=bounds.flag("cancel"),
+        may_probe=bounds.flag("probing"),
+        may_advise_pause=bounds.flag("retry_after"),
+        max_pause_us=bounds.micros("max_retry_after_ns"),
+        open_cap=bounds.whole("open_cap"),
+        cold_from=rules.number("cold_from"),
+        warm_after_us=rules.micros("warm_after_ns"),
+        fall_multiple=rules.number("fall_multiple"),
+        fall_us=rules.micros("fall_ns"),
+        carries_time_left=carries,
+        report_fields=[str(name) for name in reporting.values.get("fields") or []],
+        reports_in_answers=reporting.word("how", {"inline": True, "on_probe": False, "off": False}),
+    )
--- /dev/null
+++ b/coraldeal/interface.py
@@ -0,0 +1,158 @@
+"""Types shared by the decisions and whatever protocol stands before them; nothing here decides.
+
+All times are whole microseconds. Ids are what the protocol in front uses and are never looked into.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import Protocol
+
+InquiryId = int
+ServerId = str
+
+
+class Effect(enum.Enum):
+    """What a repeat of an inquiry may do."""
+
+    REDOABLE = "redoable"
+    LABELLED = "labelled"
+    IRREVERSIBLE = "irreversible"
+
+
+class Group(enum.Enum):
+    """Which servers drop the repeats of a labelled inquiry."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(enum.Enum):
+    """How a trip or a probe ended. `proved_not_run` is filled in below."""
+
+    SATISFIED = "satisfied"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    WITHDRAWN = "withdrawn"
+    MOOT = "moot"
+
+    proved_not_run: bool
+
+
+for _outcome in Outcome:
+    _outcome.proved_not_run = _outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+
+class Condition(enum.Enum):
+    """What the list says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(enum.Enum):
+    """How much of the list an event brings."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    REMEMBERED = "remembered"
+
+
+@dataclass(frozen=True, slots=True)
+class Track:
+    """One kind of inquiry."""
+
+    name: str
+    effect: Effect
+    group: Group
+    window_us: int
+    expected_time_us: int
+    patience_us: int
+    payoff: float
+    late_payoff: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One customer and its share of the service."""
+
+    name: str
+    fraction: float
+    quota_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One line of the list of servers. `born_us` is 0 for a server that started long ago."""
+
+    server: ServerId
+    zone: str
+    cell: int
+    condition: Condition
+    heft: float
+    born_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a node is told at its start."""
+
+    layer: int
+    instances: int
+    tick_us: int
+    zone: str
+    tracks: list[Track]
+    tenants: list[Tenant]
+    beyond_share_payoff: float
+    list_is_asked: bool
+    ask_every_us: int
+    max_trips: int
+    may_duplicate: bool
+    may_withdraw: bool
+    may_probe: bool
+    may_advise_pause: bool
+    max_pause_us: int
+    open_cap: int
+    cold_from: float
+    warm_after_us: int
+    fall_multiple: float
+    fall_us: int
+    carries_time_left: bool
+    report_fields: list[str] = field(default_factory=list)
+    reports_in_answers: bool = False
+
+
+class Host(Protocol):
+    """All that the decisions may do to the world outside. `now` is the clock, in microseconds."""
+
+    now: int
+
+    def send(self, inquiry: InquiryId, server: ServerId, timeout_us: int) -> None:
+        """Start the next trip of an inquiry."""
+
+    def defer(self, inquiry: InquiryId, pause_us: int) -> None:
+        """Final answer: not now; asking again does no harm, best after the pause (0: no advice)."""
+
+    def give_up(self, inquiry: InquiryId) -> None:
+        """Final answer: failed; promises nothing about the effect."""
+
+    def withdraw(self, inquiry: InquiryId, trip: int) -> None:
+        """Stop waiting for a trip; its end is still told."""
+
+    def probe(self, server: ServerId) -> None:
+        """Ask a server how it is."""
+
+    def wake(self, token: str, after_us: int) -> None:
+        """Have `alarm(token)` called after this time."""
+
+    def follow_list(self) -> None:
+        """Ask for the changes of the list from here on."""
+
+    def log(self, text: str) -> None:
+        """One line for on-call staff."""
