Bucket rate falls only on failed sends; deep floor above the usual traffic

Cause: deep tiers with about one call a second dropped Poisson noise, and the errors compounded upward.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -176,6 +176,7 @@
         self.arrival_rate = 0.0
         self.send_rate = 0.0
         self.rate = 1000 / SECOND
+        self.floor = 1 / SECOND
         self.burst = 100.0
         self.tokens = self.burst
         self.refilled_at = host.now
@@ -353,10 +354,12 @@
         return wait
 
     def _fell(self) -> None:
-        self.rate *= 0.98
+        """A send failed: from a rate that admits all, down to where it begins to matter, then step by step."""
+        self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * 0.98)
 
     def _rose(self) -> None:
-        self.rate += self.arrival_rate * 0.005
+        if self.rate < 4 * self.arrival_rate:
+            self.rate += self.arrival_rate * 0.005
 
     # The rotation.
 
@@ -532,9 +535,10 @@
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
         self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
         self.metered = self.sent = 0
-        floor = self.arrival_rate * (0.1 if self.front else 0.5)
-        self.rate = max(floor, min(self.rate, 2 * self.arrival_rate), 1 / SECOND)
-        self.burst = max(2.0, self.rate * SECOND / 4)
+        # A drop deeper down wastes what the tiers above have done, so the floor there lets the usual traffic pass.
+        self.floor = max(self.arrival_rate * (0.1 if self.front else 1.2), 1 / SECOND)
+        self.rate = max(self.floor, self.rate)
+        self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
             state.base = min(state.base * 1.008, state.median)
             state.in_time = 2 * state.base + self.margin
