A try counts as a later one only when its time left is clearly short

Cause: jitter made first tries look like repeats near their patience, and core tracks were turned away.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -196,12 +196,12 @@
         # What it is worth now: a track's payoff, or little of it beyond the tenant's share.
         within = tenant is None or self._within_share(tenant, now)
         worth = state.track.payoff * (1.0 if within else self.beyond)
-        # Until when an answer is worth anything. A try that has less time left than others of its track is a
-        # later one; the client has waited for the rest of its patience already.
+        # Until when an answer is worth anything. A try that has clearly less time left than others of its track
+        # is a later one, cut short by the client's patience: the rest of that has gone by already.
         useful = state.useful_us
-        if left_us >= state.longest_left:
+        if left_us > state.longest_left:
             state.longest_left = left_us
-        elif self.front:
+        elif self.front and left_us < 0.9 * state.longest_left:
             useful -= max(0, state.track.patience_us - left_us)
         inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
         self.inquiries[name] = inquiry
