Later tries are told by a time left unlike their track's usual one

Cause: a retry with more time left than first tries moved the yardstick, and first tries looked late.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -42,7 +42,7 @@
 class TrackState:
     """What is learned of a track, for the life of the instance."""
 
-    __slots__ = ("track", "core", "useful_us", "median", "slow", "base", "in_time", "longest_left")
+    __slots__ = ("track", "core", "useful_us", "median", "slow", "base", "in_time", "usual_left")
 
     def __init__(self, track: Track, core: bool) -> None:
         self.track = track
@@ -53,7 +53,7 @@
         self.slow = self.useful_us / 3
         self.base = self.median
         self.in_time = 2 * self.base
-        self.longest_left = 0
+        self.usual_left = 0
 
     def learn(self, latency: int, answered: bool) -> None:
         """Move the two quantiles a small step towards what a trip took; a trip without answer counts as slow."""
@@ -196,13 +196,15 @@
         # What it is worth now: a track's payoff, or little of it beyond the tenant's share.
         within = tenant is None or self._within_share(tenant, now)
         worth = state.track.payoff * (1.0 if within else self.beyond)
-        # Until when an answer is worth anything. A try that has clearly less time left than others of its track
-        # is a later one, cut short by the client's patience: the rest of that has gone by already.
+        # Until when an answer is worth anything. A try whose time left is not the usual one of its track is a later
+        # try, bounded by the client's patience: the rest of that has gone by already.
         useful = state.useful_us
-        if left_us > state.longest_left:
-            state.longest_left = left_us
-        elif self.front and left_us < 0.9 * state.longest_left:
-            useful -= max(0, state.track.patience_us - left_us)
+        if self.front:
+            usual = state.usual_left = state.usual_left or left_us
+            if not repeat:
+                state.usual_left += (usual if left_us > usual else -usual) // 100
+            if abs(left_us - usual) > usual // 10:
+                useful -= max(0, state.track.patience_us - left_us)
         inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
         self.inquiries[name] = inquiry
         if inquiry.end - now < state.base:
