--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -1,17 +1,17 @@
-"""All decisions of coraldeal: which inquiries are let in, which server gets a trip, what answer ends an inquiry.
+"""All decisions of coraldeal: which inquiries are let in, which server gets a trip, what ends an inquiry.
 
-How it is called: a protocol in front makes one `Balancer` for each node and calls one method for each thing that
-happens (`inquiry_arrived`, `trip_ended`, `servers_listed`, ...). The balancer acts at once by calling the `Host` that
-it was handed. Both sides of that border are in coraldeal/interface.py; nothing else goes in or out.
+How it is called: a protocol in front makes one `Balancer` for each node and calls one method for each thing
+that happens (`inquiry_arrived`, `trip_ended`, `servers_listed`, ...). The balancer acts by calling the
+`Host` it was handed. Both sides of that border are in coraldeal/interface.py; nothing else goes in or out.
 
-The design (docs/design.md): core tracks pass unmetered; any other inquiry takes a token within a short wait or is
-dropped; it is then held until the next server of the rotation is under its learned cap.
+The design (docs/design.md): core tracks pass unmetered; any other inquiry takes a token in a short wait or
+is dropped; it is then held until the next server of the rotation is under its learned cap.
 
 Mechanisms beside the design, six at most:
-1. rest: a server that does badly at a cap of one, worse than the fleet's median, leaves the rotation for a while;
+1. rest: a server that does badly at a cap of one, worse than the fleet's median, leaves the rotation a while;
 2. overdue: a server whose oldest trip is overdue gets no further work until that trip has ended;
-3. credit: a further trip goes only to a server whose answers have earned it, after a trip time-out learned from answers;
-4. shares: what a tenant sends beyond its share is worth less, comes last and leaves half the bucket to others;
+3. credit: a further trip goes only to a server whose answers earned it; trip time-outs come from answers;
+4. shares: a tenant's traffic beyond its share is worth less, comes last and leaves half the bucket to others;
 5. cold budget: a server that has just started gets trips at a rate within the rule;
 6. last call: an inquiry that can no longer be satisfied in time is answered at once and takes no place.
 """
@@ -42,13 +42,14 @@
 class TrackState:
     """What is learned of a track, for the life of the instance."""
 
-    __slots__ = ("track", "core", "useful_us", "median", "slow", "base", "in_time", "usual_left")
+    __slots__ = ("base", "core", "in_time", "median", "slow", "track", "useful_us", "usual_left")
 
     def __init__(self, track: Track, core: bool) -> None:
         self.track = track
         self.core = core
         self.useful_us = track.patience_us if track.late_payoff > 0 else track.expected_time_us
-        # Latencies in microseconds: the median, a slow one (nine in ten are faster), and the median when all is well.
+        # Latencies in microseconds: the median, a slow one (nine in ten are faster), and the median
+        # when all is well.
         self.median = self.useful_us / 8
         self.slow = self.useful_us / 3
         self.base = self.median
@@ -56,7 +57,7 @@
         self.usual_left = 0
 
     def learn(self, latency: int, answered: bool) -> None:
-        """Move the two quantiles a small step towards what a trip took; a trip without answer counts as slow."""
+        """Move the two quantiles a small step towards what a trip took; one without answer counts as slow."""
         self.slow *= 1.036 if latency > self.slow else 0.996
         if answered:
             self.median *= 1.02 if latency > self.median else 0.98
@@ -66,20 +67,20 @@
     """What is known of a server, for as long as its process lives."""
 
     __slots__ = (
-        "name",
-        "zone",
-        "cell",
-        "heft",
+        "born",
         "cap",
-        "trips",
+        "cell",
+        "cold_at",
+        "cold_tokens",
+        "credit",
         "fail_share",
-        "strikes",
+        "heft",
+        "name",
         "rest_until",
-        "credit",
-        "born",
+        "strikes",
+        "trips",
         "warm_at",
-        "cold_tokens",
-        "cold_at",
+        "zone",
     )
 
     def __init__(self, entry: Entry, cap: int, warm_after: int, now: int) -> None:
@@ -102,7 +103,7 @@
 class Inquiry:
     """One inquiry, from its arrival to its final answer."""
 
-    __slots__ = ("name", "state", "worth", "end", "trips", "out", "ran_on", "ran_at", "over")
+    __slots__ = ("end", "name", "out", "over", "ran_at", "ran_on", "state", "trips", "worth")
 
     def __init__(self, name: InquiryId, state: TrackState, worth: float, end: int) -> None:
         self.name = name
@@ -120,7 +121,7 @@
 class Trip:
     """One try at an inquiry, from its sending to its end."""
 
-    __slots__ = ("inquiry", "number", "server", "sent_at", "overdue_at", "filled")
+    __slots__ = ("filled", "inquiry", "number", "overdue_at", "sent_at", "server")
 
     def __init__(self, inquiry: Inquiry, server: Server, now: int) -> None:
         self.inquiry = inquiry
@@ -168,7 +169,7 @@
         self.last_calls: list[tuple[int, int, Inquiry]] = []
         self.order = 0
         self.watching_held = False
-        self.share_tokens = {t.name: (1.0, host.now) for t in settings.tenants}
+        self.share_tokens = {t.name: (self.share_rate[t.name] * SECOND, host.now) for t in settings.tenants}
         # The bucket: rates are tokens a microsecond. It starts open, until own arrivals are known.
         self.started = host.now
         self.metered = 0
@@ -196,7 +197,8 @@
         # What it is worth now: a track's payoff, or little of it beyond the tenant's share.
         within = tenant is None or self._within_share(tenant, now)
         worth = state.track.payoff * (1.0 if within else self.beyond)
-        # Until when an answer is worth anything. A try whose time left is not the usual one of its track is a later
+        # Until when an answer is worth anything. A try whose time left is not the usual one of its
+        # track is a later
         # try, bounded by the client's patience: the rest of that has gone by already.
         useful = state.useful_us
         if self.front:
@@ -301,7 +303,7 @@
     # The list of servers.
 
     def servers_listed(self, kind: ListKind, entries: list[Entry]) -> None:
-        """The list, or changes of it, as told. A server that drains or is gone leaves the rotation at once."""
+        """The list, or changes of it, as told. A server that drains or is gone leaves at once."""
         now = self.host.now
         if kind is not ListKind.REMEMBERED:
             self.list_wait = SECOND // 4
@@ -325,7 +327,7 @@
         self._fill(now)
 
     def list_failed(self) -> None:
-        """The list did not answer or broke off: ask again after a growing wait, not in step with other nodes."""
+        """The list did not answer or broke off: ask again after a growing wait, out of step with others."""
         self.host.log(f"list of servers failed; asking again in about {self.list_wait // 1000} ms")
         self.host.wake("list", int(self.list_wait * (0.5 + self._chance())))
         self.list_wait = min(2 * self.list_wait, self.list_wait_most)
@@ -356,7 +358,7 @@
         return wait
 
     def _fell(self) -> None:
-        """A send failed: from a rate that admits all, down to where it begins to matter, then step by step."""
+        """A send failed: from a rate that admits all down to where it matters, then step by step."""
         self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * 0.98)
 
     def _rose(self) -> None:
@@ -392,9 +394,9 @@
         # A silent server must not hold the inquiry to its end, if it could go elsewhere after that.
         track = inquiry.state.track
         patient = int(3 * inquiry.state.slow)
-        if track.effect is not Effect.IRREVERSIBLE and inquiry.trips + 1 < self.max_trips:
-            if timeout - patient > inquiry.state.median:
-                timeout = patient
+        repeatable = track.effect is not Effect.IRREVERSIBLE and inquiry.trips + 1 < self.max_trips
+        if repeatable and timeout - patient > inquiry.state.median:
+            timeout = patient
         trip = Trip(inquiry, server, now)
         key = inquiry.name, trip.number
         self.trips[key] = server.trips[key] = trip
@@ -417,7 +419,7 @@
     def _fill(self, now: int) -> None:
         """Give free places to held inquiries."""
         held = self.held
-        aside = []
+        aside: list[tuple[float, int, Inquiry]] = []
         while held:
             inquiry = held[0][2]
             if inquiry.over or inquiry.out is not None:
@@ -451,11 +453,13 @@
             self.last_calls.clear()
 
     def _cold_room(self, server: Server, now: int) -> bool:
-        """A budget of trips for a cold server, by what a warm one is sent; other nodes are taken to send alike."""
+        """A budget of trips for a cold server, by what a warm one is sent; others are taken to send alike."""
         warmth = self.cold_from + (1 - self.cold_from) * (now - server.born) / self.warm_after
         per_server = self.send_rate / max(1, len(self.rotation))
         rate = 0.5 * self.fall_multiple * warmth * per_server
-        server.cold_tokens = min(max(1.0, rate * self.fall_us / 4), server.cold_tokens + (now - server.cold_at) * rate)
+        server.cold_tokens = min(
+            max(1.0, rate * self.fall_us / 4), server.cold_tokens + (now - server.cold_at) * rate
+        )
         server.cold_at = now
         return server.cold_tokens >= 1
 
@@ -489,7 +493,9 @@
                 server.strikes += 1
                 server.rest_until = now + int(state.median * 2 ** min(server.strikes, 5))
                 if server.strikes == 3:
-                    self.host.log(f"resting {server.name}: {outcome.value}, fail share {server.fail_share:.2f}")
+                    self.host.log(
+                        f"resting {server.name}: {outcome.value}, fail share {server.fail_share:.2f}"
+                    )
 
     def _may_go_again(self, inquiry: Inquiry, now: int) -> bool:
         """Whether rules and time allow a further trip."""
@@ -497,7 +503,10 @@
             return False
         if inquiry.ran_on is None or inquiry.state.track.effect is Effect.REDOABLE:
             return True
-        return inquiry.state.track.effect is Effect.LABELLED and now < inquiry.ran_at + inquiry.state.track.window_us
+        return (
+            inquiry.state.track.effect is Effect.LABELLED
+            and now < inquiry.ran_at + inquiry.state.track.window_us
+        )
 
     def _in_group(self, inquiry: Inquiry, server: Server) -> bool:
         """Whether a further trip to this server keeps the rule on effects."""
@@ -537,7 +546,8 @@
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
         self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
         self.metered = self.sent = 0
-        # A drop deeper down wastes what the tiers above have done, so the floor there lets the usual traffic pass.
+        # A drop deeper down wastes what the tiers above have done, so the floor there lets the
+        # usual traffic pass.
         self.floor = max(self.arrival_rate * (0.1 if self.front else 1.2), 1 / SECOND)
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
--- a/coraldeal/benchlink/link.py
+++ b/coraldeal/benchlink/link.py
@@ -40,7 +40,7 @@
 class Node:
     """One instance: the host that its balancer acts through, writing each act straight as a line."""
 
-    __slots__ = ("now", "out", "name", "link", "balancer")
+    __slots__ = ("balancer", "link", "name", "now", "out")
 
     def __init__(self, link: Link, name: str) -> None:
         self.link = link
@@ -153,7 +153,7 @@
         node = self.node
         if node is None:
             raise WireError("'boot' before 'context'")
-        seed, text = (rest.split("\t", 1) + [""])[:2]
+        seed, text = rest.partition("\t")[::2]
         try:
             settings = read_settings(text)
         except SettingsError as error:
@@ -197,7 +197,11 @@
         inquiry, track, tenant, left, _, hint, marks = self._fields(rest, 7)
         bits = 0 if marks == "-" else int(marks)
         self._current().inquiry_arrived(
-            int(inquiry), track, None if tenant in ("-", "0") else tenant, int(left) // 1000, bool(bits & REPEAT_BIT)
+            int(inquiry),
+            track,
+            None if tenant in ("-", "0") else tenant,
+            int(left) // 1000,
+            bool(bits & REPEAT_BIT),
         )
 
     def headers(self, rest: str) -> None:
@@ -283,7 +287,7 @@
         if _in_module(error):
             report_bug(_blame(error))
             traceback.print_exc(file=errors)
-        elif isinstance(error, (WireError, ValueError)):
+        elif isinstance(error, WireError | ValueError):
             print(f"line {link.line_number}: {error}", file=errors)
         else:
             raise
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,247 @@
+"""Plays the files of tests/scenarios (decisions) and tests/wire (adapter). Notation: tests/README.md."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+from typing import Any
+
+from coraldeal.balance import Balancer
+from coraldeal.interface import Condition, Effect, Entry, Group, ListKind, Outcome, Settings, Tenant, Track
+
+HERE = Path(__file__).parent
+UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000}
+DEFAULTS: dict[str, Any] = {
+    "layer": 0,
+    "instances": 1,
+    "tick": "1ms",
+    "zone": "z",
+    "beyond_share_payoff": 0.05,
+    "list_is_asked": False,
+    "ask_every": "10s",
+    "max_trips": 3,
+    "may_duplicate": False,
+    "may_withdraw": True,
+    "may_probe": True,
+    "may_advise_pause": True,
+    "max_pause": "1s",
+    "open_cap": 1000,
+    "cold_from": 0.25,
+    "warm_after": "8s",
+    "fall_multiple": 2.0,
+    "fall": "1s",
+    "carries_time_left": False,
+}
+
+
+def micros(text: str) -> int:
+    number = text.rstrip("mus")
+    return round(float(number) * UNITS[text[len(number) :]])
+
+
+class Scene:
+    """The host of one balancer, the clock, and the acts not yet expected by a line."""
+
+    def __init__(self) -> None:
+        self.now = 1_000_000_000
+        self.given = dict(DEFAULTS)
+        self.tracks: list[Track] = []
+        self.tenants: list[Tenant] = []
+        self.entries: list[Entry] = []
+        self.acts: list[tuple[str, ...]] = []
+        self.wakes: list[tuple[int, int, str]] = []
+        self.trips: dict[int, tuple[int, str, int]] = {}
+        self.balancer: Balancer | None = None
+
+    # What the balancer may do.
+
+    def send(self, inquiry: int, server: str, timeout_us: int) -> None:
+        self.trips[inquiry] = (self.trips[inquiry][0] + 1 if inquiry in self.trips else 0, server, self.now)
+        self.acts.append(("send", str(inquiry), server))
+
+    def defer(self, inquiry: int, pause_us: int) -> None:
+        self.acts.append(("defer", str(inquiry)))
+
+    def give_up(self, inquiry: int) -> None:
+        self.acts.append(("give-up", str(inquiry)))
+
+    def withdraw(self, inquiry: int, trip: int) -> None:
+        self.acts.append(("withdraw", str(inquiry)))
+
+    def probe(self, server: str) -> None:
+        self.acts.append(("probe", server))
+
+    def wake(self, token: str, after_us: int) -> None:
+        assert after_us >= 0, "a wake in the past"
+        self.wakes.append((self.now + max(1, after_us), len(self.acts), token))
+
+    def follow_list(self) -> None:
+        self.acts.append(("follow-list",))
+
+    def log(self, text: str) -> None:
+        pass
+
+    # The words of a scenario.
+
+    def started(self) -> Balancer:
+        if self.balancer is None:
+            values = {
+                k + "_us" if isinstance(v, str) and k != "zone" else k: v for k, v in self.given.items()
+            }
+            values = {k: micros(v) if k.endswith("_us") else v for k, v in values.items()}
+            settings = Settings(tracks=self.tracks, tenants=self.tenants, **values)
+            self.balancer = Balancer(self, settings, 7)
+            self.balancer.servers_listed(ListKind.REMEMBERED, self.entries)
+        return self.balancer
+
+    def do_given(self, key: str, value: str) -> None:
+        kind = type(self.given[key])
+        self.given[key] = value == "yes" if kind is bool else kind(value)
+
+    def do_track(self, name: str, effect: str, **o: str) -> None:
+        self.tracks.append(
+            Track(
+                name,
+                Effect(effect),
+                Group(o.get("group", "all")),
+                micros(o.get("window", "0s")),
+                micros(o["expected"]),
+                micros(o["patience"]),
+                float(o["payoff"]),
+                0.0,
+            )
+        )
+
+    def do_tenant(self, name: str, **o: str) -> None:
+        self.tenants.append(Tenant(name, float(o["fraction"]), float(o["quota"])))
+
+    def entry(self, name: str, condition: str, o: dict[str, str]) -> Entry:
+        born = self.now - micros(o["age"]) if "age" in o else 0
+        return Entry(name, o.get("zone", "z"), int(o.get("cell", "1")), Condition(condition), 1.0, born)
+
+    def do_servers(self, *names: str, **o: str) -> None:
+        self.entries += [self.entry(name, "ready", o) for name in names]
+
+    def do_told(self, name: str, condition: str, **o: str) -> None:
+        self.started().servers_listed(ListKind.CHANGES, [self.entry(name, condition, o)])
+
+    def do_list(self, word: str) -> None:
+        assert word == "fails"
+        self.started().list_failed()
+
+    def do_inquiry(self, name: str, track: str, *flags: str, **o: str) -> None:
+        left = (
+            micros(o["left"]) if "left" in o else next(t.patience_us for t in self.tracks if t.name == track)
+        )
+        first, _, last = name.partition("-")
+        for number in range(int(first), int(last or first) + 1):
+            self.started().inquiry_arrived(number, track, o.get("tenant"), left, "repeat" in flags)
+
+    def do_ends(self, name: str, outcome: str, *flags: str) -> None:
+        first, _, last = name.partition("-")
+        for number in range(int(first), int(last or first) + 1):
+            trip, _, sent_at = self.trips[number]
+            over = outcome == "satisfied" or "over" in flags
+            self.started().trip_ended(number, trip, Outcome(outcome), self.now - sent_at, over, None)
+
+    def do_leaves(self, name: str) -> None:
+        self.started().client_left(int(name))
+
+    def do_after(self, text: str) -> None:
+        end = self.now + micros(text)
+        while self.wakes and min(self.wakes)[0] <= end:
+            wake = min(self.wakes)
+            self.wakes.remove(wake)
+            self.now = wake[0]
+            self.started().alarm(wake[2])
+        self.now = end
+
+    def do_expect(self, act: str, *rest: str, **o: str) -> None:
+        """`expect ACT ID to=A|B` uses up one act; the other forms look at all that are left."""
+        if act == "nothing":
+            assert not self.acts, f"unexpected: {self.acts}"
+        elif act == "count":
+            number = sum(a[0] == rest[0] for a in self.acts)
+            assert (
+                int(o.get("least", 0)) <= number <= int(o.get("most", 1 << 30))
+            ), f"{number} times: {rest[0]}"
+            self.acts = [a for a in self.acts if a[0] != rest[0]]
+        elif act == "no":
+            bad = [a for a in self.acts if a[0] == rest[0] and self.fits(a, rest[1:], o)]
+            assert not bad, f"unexpected: {bad}"
+        else:
+            first = next((a for a in self.acts if a[0] == act and self.fits(a, rest, o)), None)
+            assert first is not None, f"nothing met it; left are {self.acts}"
+            self.acts.remove(first)
+
+    @staticmethod
+    def fits(act: tuple[str, ...], rest: tuple[str, ...], o: dict[str, str]) -> bool:
+        return act[1 : 1 + len(rest)] == rest and ("to" not in o or act[-1] in o["to"].split("|"))
+
+
+def play(path: Path) -> None:
+    scene = Scene()
+    expected = False
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        words = line.partition("#")[0].split()
+        if not words:
+            continue
+        method = getattr(scene, "do_" + words[0], None)
+        if method is None:
+            raise AssertionError(f"{path.name}:{number}: unknown word {words[0]!r}")
+        options = dict(w.split("=", 1) for w in words[1:] if "=" in w)
+        try:
+            method(*[w for w in words[1:] if "=" not in w], **options)
+        except (AssertionError, KeyError, TypeError, ValueError) as error:
+            raise AssertionError(f"{path.name}:{number}: {line.strip()}: {error!r}") from error
+        expected = expected or words[0] == "expect"
+    if not expected:
+        raise AssertionError(f"{path.name} expects nothing")
+
+
+def exchange(path: Path) -> None:
+    """`>` goes in; all output must be the lines with `<`; `!` is the exit status and a text of stderr."""
+    settings = (HERE / "wire" / "settings.json").read_text().strip()
+    lines = [line.replace("SETTINGS", settings) for line in path.read_text().splitlines()]
+    sent = "".join(line[2:].replace(" | ", "\t") + "\n" for line in lines if line.startswith("> "))
+    wanted = [line[2:].replace(" | ", "\t") for line in lines if line.startswith("< ")]
+    (end,) = [line[2:] for line in lines if line.startswith("! ")]
+    status, _, text = end.partition(" ")
+    if path.name.startswith("cut"):
+        sent = sent[:-1]
+    done = subprocess.run(
+        [sys.executable, "-m", "coraldeal.benchlink"],
+        input=sent,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=HERE.parent,
+        check=False,
+    )
+    assert done.stdout.splitlines() == wanted, f"{path.name}: {done.stdout!r} {done.stderr!r}"
+    assert done.returncode == int(status), f"{path.name}: exit status {done.returncode}"
+    assert text in done.stderr and "Traceback" not in done.stderr, f"{path.name}: stderr {done.stderr!r}"
+    assert text or not done.stderr, f"{path.name}: stderr {done.stderr!r}"
+
+
+class Scenarios(unittest.TestCase):
+    """One test a file."""
+
+    def test_runner_refuses_an_unknown_word_and_an_unmet_expectation(self) -> None:
+        for name in ("unknown-word", "unmet"):
+            with self.assertRaises(AssertionError):
+                play(HERE / "bad" / f"{name}.txt")
+
+
+def _add(folder: str, act: Any) -> None:
+    for path in sorted((HERE / folder).glob("*.txt")):
+        setattr(Scenarios, f"test_{folder}_{path.stem.replace('-', '_')}", lambda self, path=path: act(path))
+
+
+_add("scenarios", play)
+_add("wire", exchange)
+
+if __name__ == "__main__":
+    unittest.main()
