--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -53,7 +53,7 @@
         self.median = self.useful_us / 8
         self.slow = self.useful_us / 3
         self.base = self.median
-        self.in_time = 2 * self.base
+        self.in_time = 1.5 * self.base
         self.usual_left = 0
 
     def learn(self, latency: int, answered: bool) -> None:
@@ -553,7 +553,7 @@
         self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
             state.base = min(state.base * 1.008, state.median)
-            state.in_time = 2 * state.base + self.margin
+            state.in_time = 1.5 * state.base + self.margin
         shares = sorted(server.fail_share for server in self.rotation)
         self.median_fail_share = shares[len(shares) // 2] if shares else 0.0
 
