Own zone first while calm; no fall of the rate in a node's first second

Cause 2: one early failure pulled the open bucket down to an arrival rate not yet measured. Even turns stay kept.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -149,6 +149,7 @@
         self.max_pause = settings.max_pause_us if settings.may_advise_pause else 0
         self.margin = max(2 * settings.tick_us, 5_000)
         self.token_wait = max(2 * settings.tick_us, 10_000)
+        self.zone = settings.zone
         self.list_is_asked = settings.list_is_asked
         self.list_wait_most = max(SECOND, settings.ask_every_us // 5)
         self.list_wait = SECOND // 4
@@ -162,7 +163,9 @@
         # State of the instance.
         self.servers: dict[ServerId, Server] = {}
         self.rotation: list[Server] = []
-        self.turn = 0
+        self.near: list[Server] = []
+        self.turn = self.near_turn = 0
+        self.calm = True
         self.inquiries: dict[InquiryId, Inquiry] = {}
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
         self.held: list[tuple[float, int, Inquiry]] = []
@@ -322,8 +325,9 @@
         self.rotation = list(told.values())
         # The order is this node's own and random, so that nodes do not send in step.
         self.rotation.sort(key=lambda s: crc32(f"{self.seed} {s.name}".encode()))
-        if self.turn >= len(self.rotation):
-            self.turn = 0
+        self.near = [s for s in self.rotation if s.zone == self.zone]
+        self.turn = self.turn % max(1, len(self.rotation))
+        self.near_turn = self.near_turn % max(1, len(self.near))
         self._fill(now)
 
     def list_failed(self) -> None:
@@ -359,6 +363,9 @@
 
     def _fell(self) -> None:
         """A send failed: from a rate that admits all down to where it matters, then step by step."""
+        if self.host.now - self.started < SECOND:
+            # A new node does not know its own arrivals yet; one early failure must not shut the bucket.
+            return
         self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * 0.98)
 
     def _rose(self) -> None:
@@ -369,11 +376,25 @@
 
     def _next_server(self, inquiry: Inquiry, now: int) -> Server | None:
         """The next server in the rotation that may take this inquiry's next trip."""
-        rotation, turn = self.rotation, self.turn
+        if self.calm:
+            # Crossings cost: while all goes well, the part of the rotation in the node's own zone comes first.
+            found = self._look_round(self.near, self.near_turn, inquiry, now)
+            if found >= 0:
+                self.near_turn = (found + 1) % len(self.near)
+                return self.near[found]
+        found = self._look_round(self.rotation, self.turn, inquiry, now)
+        if found < 0:
+            return None
+        self.turn = (found + 1) % len(self.rotation)
+        return self.rotation[found]
+
+    def _look_round(self, rotation: list[Server], turn: int, inquiry: Inquiry, now: int) -> int:
+        """The place in the rotation, from this turn on, of the first server ready; -1 if none is."""
         further = inquiry.trips > 0
-        for _ in range(len(rotation)):
-            server = rotation[turn]
-            turn = turn + 1 if turn + 1 < len(rotation) else 0
+        for place in range(turn, turn + len(rotation)):
+            if place >= len(rotation):
+                place -= len(rotation)
+            server = rotation[place]
             trips = server.trips
             if len(trips) >= server.cap or server.rest_until > now:
                 continue
@@ -383,9 +404,8 @@
                 continue
             if server.warm_at > now and not self._cold_room(server, now):
                 continue
-            self.turn = turn
-            return server
-        return None
+            return place
+        return -1
 
     def _send(self, inquiry: Inquiry, server: Server, now: int) -> None:
         timeout = inquiry.end - now
@@ -554,6 +574,7 @@
         for state in self.tracks.values():
             state.base = min(state.base * 1.008, state.median)
             state.in_time = 1.5 * state.base + self.margin
+        self.calm = not self.held and all(s.median <= s.in_time for s in self.tracks.values())
         shares = sorted(server.fail_share for server in self.rotation)
         self.median_fail_share = shares[len(shares) // 2] if shares else 0.0
 
