Nothing is sent from the hold too late; late sends do not halve caps; rate steps relative

Cause: under a long hold each inquiry was sent with just its median time left, failed, halved a cap and lengthened the hold.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -370,7 +370,7 @@
 
     def _rose(self) -> None:
         if self.rate < 4 * self.arrival_rate:
-            self.rate += self.arrival_rate * 0.005
+            self.rate *= 1.01
 
     # The rotation.
 
@@ -431,7 +431,7 @@
         """Hold by worth, then in order of arrival."""
         self.order += 1
         heappush(self.held, (-inquiry.worth, self.order, inquiry))
-        heappush(self.last_calls, (inquiry.end - int(inquiry.state.median), self.order, inquiry))
+        heappush(self.last_calls, (inquiry.end - int(inquiry.state.in_time), self.order, inquiry))
         if not self.watching_held:
             self.watching_held = True
             self.host.wake("held", self.token_wait)
@@ -505,10 +505,13 @@
         elif outcome not in (Outcome.WITHDRAWN, Outcome.MOOT):
             if outcome is Outcome.TIMEOUT:
                 state.learn(latency, False)
+            self._fell()
+            if trip.inquiry.end - trip.sent_at < state.in_time:
+                # It was sent with too little time left for a usual answer: that is not the server's failure.
+                return
             lowest = server.cap == 1
             server.cap = max(1, server.cap // 2)
             server.fail_share += 0.2 * (1 - server.fail_share)
-            self._fell()
             if lowest and server.fail_share > self.median_fail_share:
                 server.strikes += 1
                 server.rest_until = now + int(state.median * 2 ** min(server.strikes, 5))
