A look at a server before a send, where probes cost next to nothing

Cause: with one slot a server and several nodes, round turns often meet a server that another node keeps busy, and the tail pays for the wait. Also guards against a crash: nothing is sent to a server that does not answer the look.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -8,12 +8,13 @@
 is dropped; it is then held until the next server of the rotation is under its learned cap.
 
 Mechanisms beside the design, six at most:
-1. rest: a server that does badly at a cap of one, worse than the fleet's median, leaves the rotation a while;
-2. overdue: a server whose oldest trip is overdue gets no further work until that trip has ended;
-3. credit: a further trip goes only to a server whose answers earned it; trip time-outs come from answers;
-4. shares: a tenant's traffic beyond its share is worth less, comes last and leaves half the bucket to others;
-5. cold budget: a server that has just started gets trips at a rate within the rule;
-6. last call: an inquiry that can no longer be satisfied in time is answered at once and takes no place.
+1. rest: a server that does badly at a cap of one, worse than the fleet's median, or whose oldest trip is
+   overdue, is passed over for a while;
+2. credit: a further trip goes only to a server whose answers earned it; trip time-outs come from answers;
+3. shares: a tenant's traffic beyond its share is worth less, comes last and leaves half the bucket to others;
+4. cold budget: a server that has just started gets trips at a rate within the rule;
+5. own zone first: while all goes well, the rotation begins with the servers of the node's own zone;
+6. look: where probes cost next to nothing, a server is asked for its load before a trip is sent to it.
 """
 
 from __future__ import annotations
@@ -37,6 +38,9 @@
 
 SECOND = 1_000_000
 SWEEP = SECOND // 4
+# Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
+MOST_LOOKS = 3
+LOOK_PRICE = 0.01
 
 
 class TrackState:
@@ -75,8 +79,10 @@
         "credit",
         "fail_share",
         "heft",
+        "looks",
         "name",
         "rest_until",
+        "seen",
         "strikes",
         "trips",
         "warm_at",
@@ -98,12 +104,15 @@
         self.warm_at = entry.born_us + warm_after if entry.born_us else 0
         self.cold_tokens = 1.0
         self.cold_at = now
+        # Looks under way, and how many inquiries the last one found in it.
+        self.looks = 0
+        self.seen = 0.0
 
 
 class Inquiry:
     """One inquiry, from its arrival to its final answer."""
 
-    __slots__ = ("end", "name", "out", "over", "ran_at", "ran_on", "state", "trips", "worth")
+    __slots__ = ("best", "end", "looks", "name", "out", "over", "ran_at", "ran_on", "state", "trips", "worth")
 
     def __init__(self, name: InquiryId, state: TrackState, worth: float, end: int) -> None:
         self.name = name
@@ -116,6 +125,9 @@
         self.ran_on: Server | None = None
         self.ran_at = 0
         self.over = False
+        # Looks taken for its next trip, and the least busy server they found.
+        self.looks = 0
+        self.best: Server | None = None
 
 
 class Trip:
@@ -150,6 +162,8 @@
         self.margin = max(2 * settings.tick_us, 5_000)
         self.token_wait = max(2 * settings.tick_us, 10_000)
         self.zone = settings.zone
+        can_look = settings.may_probe and {"inflight", "queue"} & set(settings.report_fields)
+        self.looks_pay = bool(can_look) and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
         self.list_is_asked = settings.list_is_asked
         self.list_wait_most = max(SECOND, settings.ask_every_us // 5)
         self.list_wait = SECOND // 4
@@ -166,8 +180,11 @@
         self.near: list[Server] = []
         self.turn = self.near_turn = 0
         self.calm = True
+        self.calm_trip = SWEEP
+        self.slots = 1
         self.inquiries: dict[InquiryId, Inquiry] = {}
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
+        self.looking: dict[ServerId, list[tuple[Inquiry, Server]]] = {}
         self.held: list[tuple[float, int, Inquiry]] = []
         self.last_calls: list[tuple[int, int, Inquiry]] = []
         self.order = 0
@@ -230,7 +247,7 @@
         if server is None:
             self._hold(inquiry, now)
         else:
-            self._send(inquiry, server, now)
+            self._bind(inquiry, server, now)
 
     def answer_started(self, name: InquiryId, number: int, latency_us: int) -> None:
         """A streamed answer has begun: the trip is the client's now, its times no longer count."""
@@ -262,11 +279,7 @@
             if not outcome.proved_not_run and inquiry.ran_on is None:
                 inquiry.ran_on, inquiry.ran_at = trip.server, trip.sent_at
             if self._may_go_again(inquiry, now):
-                server = self._next_server(inquiry, now)
-                if server is None:
-                    self._hold(inquiry, now)
-                else:
-                    self._send(inquiry, server, now)
+                self._place(inquiry, now)
             else:
                 self._conclude(inquiry, int(inquiry.state.median))
         self._fill(now)
@@ -292,16 +305,38 @@
         elif token.startswith("token "):
             inquiry = self.inquiries.get(int(token[6:]))
             if inquiry is not None:
-                server = self._next_server(inquiry, now)
-                if server is None:
-                    self._hold(inquiry, now)
-                else:
-                    self._send(inquiry, server, now)
+                self._place(inquiry, now)
 
     def probe_ended(
         self, server: ServerId, outcome: Outcome, latency_us: int, report: dict[str, float] | None
     ) -> None:
-        """Probes are not used so far."""
+        """A look at a server: send what waited for it, or look at the next one where this one is busy."""
+        now = self.host.now
+        waiting = self.looking.get(server)
+        if not waiting:
+            return
+        inquiry, known = waiting.pop(0)
+        known.looks -= 1
+        if outcome is not Outcome.SATISFIED:
+            # No process answers there: nothing was lost by asking first.
+            self._rest(known, now, outcome)
+        elif report is not None:
+            known.seen = report.get("inflight", report.get("queue", 0.0))
+            self._learn_slots(report)
+            if inquiry.best is None or known.seen < inquiry.best.seen:
+                inquiry.best = known
+        if inquiry.over:
+            return
+        if outcome is Outcome.SATISFIED and known.seen < self.slots - 0.5:
+            inquiry.best = known
+        elif inquiry.looks < MOST_LOOKS:
+            self._place(inquiry, now)
+            return
+        chosen = inquiry.best
+        if chosen is not None and len(chosen.trips) < chosen.cap and self.servers.get(chosen.name) is chosen:
+            self._send(inquiry, chosen, now)
+        else:
+            self._hold(inquiry, now)
 
     # The list of servers.
 
@@ -377,18 +412,18 @@
     def _next_server(self, inquiry: Inquiry, now: int) -> Server | None:
         """The next server in the rotation that may take this inquiry's next trip."""
         if self.calm:
-            # Crossings cost: while all goes well, the part of the rotation in the node's own zone comes first.
-            found = self._look_round(self.near, self.near_turn, inquiry, now)
+            # Crossings cost: while all goes well, the servers of the node's own zone come first.
+            found = self._ready_from(self.near, self.near_turn, inquiry, now)
             if found >= 0:
                 self.near_turn = (found + 1) % len(self.near)
                 return self.near[found]
-        found = self._look_round(self.rotation, self.turn, inquiry, now)
+        found = self._ready_from(self.rotation, self.turn, inquiry, now)
         if found < 0:
             return None
         self.turn = (found + 1) % len(self.rotation)
         return self.rotation[found]
 
-    def _look_round(self, rotation: list[Server], turn: int, inquiry: Inquiry, now: int) -> int:
+    def _ready_from(self, rotation: list[Server], turn: int, inquiry: Inquiry, now: int) -> int:
         """The place in the rotation, from this turn on, of the first server ready; -1 if none is."""
         further = inquiry.trips > 0
         for place in range(turn, turn + len(rotation)):
@@ -396,7 +431,7 @@
                 place -= len(rotation)
             server = rotation[place]
             trips = server.trips
-            if len(trips) >= server.cap or server.rest_until > now:
+            if len(trips) + server.looks >= server.cap or server.rest_until > now:
                 continue
             if trips and next(iter(trips.values())).overdue_at <= now:
                 continue
@@ -407,6 +442,28 @@
             return place
         return -1
 
+    def _place(self, inquiry: Inquiry, now: int) -> None:
+        """Bind to the next server, or hold."""
+        server = self._next_server(inquiry, now)
+        if server is None:
+            self._hold(inquiry, now)
+        else:
+            self._bind(inquiry, server, now)
+
+    def _bind(self, inquiry: Inquiry, server: Server, now: int) -> None:
+        """Send, after a look at the server where looks are worth their price."""
+        if not self.looks_pay:
+            self._send(inquiry, server, now)
+            return
+        inquiry.looks += 1
+        server.looks += 1
+        self.looking.setdefault(server.name, []).append((inquiry, server))
+        self.host.probe(server.name)
+
+    def _learn_slots(self, report: dict[str, float]) -> None:
+        """What servers of this tier were seen to work on at once, without a queue."""
+        self.slots = max(self.slots, round(report.get("inflight", 0.0) - report.get("queue", 0.0)))
+
     def _send(self, inquiry: Inquiry, server: Server, now: int) -> None:
         timeout = inquiry.end - now
         if inquiry.trips > 0:
@@ -422,6 +479,8 @@
         self.trips[key] = server.trips[key] = trip
         inquiry.trips += 1
         inquiry.out = trip
+        inquiry.looks = 0
+        inquiry.best = None
         self.sent += 1
         if server.warm_at > now:
             server.cold_tokens -= 1
@@ -448,7 +507,8 @@
             server = self._next_server(inquiry, now)
             if server is not None:
                 heappop(held)
-                self._send(inquiry, server, now)
+                inquiry.looks = 0
+                self._bind(inquiry, server, now)
             elif inquiry.trips > 0 and len(aside) < 8:
                 # Where only this one's choice of servers is narrow, the next may still be placed.
                 aside.append(heappop(held))
@@ -513,12 +573,14 @@
             server.cap = max(1, server.cap // 2)
             server.fail_share += 0.2 * (1 - server.fail_share)
             if lowest and server.fail_share > self.median_fail_share:
-                server.strikes += 1
-                server.rest_until = now + int(state.median * 2 ** min(server.strikes, 5))
-                if server.strikes == 3:
-                    self.host.log(
-                        f"resting {server.name}: {outcome.value}, fail share {server.fail_share:.2f}"
-                    )
+                self._rest(server, now, outcome)
+
+    def _rest(self, server: Server, now: int, outcome: Outcome) -> None:
+        """Out of the rotation, for longer each time until it answers again."""
+        server.strikes += 1
+        server.rest_until = now + (self.calm_trip << min(server.strikes, 5))
+        if server.strikes == 3:
+            self.host.log(f"resting {server.name}: {outcome.value}, fail share {server.fail_share:.2f}")
 
     def _may_go_again(self, inquiry: Inquiry, now: int) -> bool:
         """Whether rules and time allow a further trip."""
@@ -578,6 +640,7 @@
             state.base = min(state.base * 1.008, state.median)
             state.in_time = 1.5 * state.base + self.margin
         self.calm = not self.held and all(s.median <= s.in_time for s in self.tracks.values())
+        self.calm_trip = int(min((s.base for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
         self.median_fail_share = shares[len(shares) // 2] if shares else 0.0
 
--- a/coraldeal/interface.py
+++ b/coraldeal/interface.py
@@ -116,9 +116,9 @@
     may_duplicate: bool
     may_withdraw: bool
     may_probe: bool
+    probe_price: float
     may_advise_pause: bool
     max_pause_us: int
-    open_cap: int
     cold_from: float
     warm_after_us: int
     fall_multiple: float
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -27,7 +27,8 @@
     "may_probe": True,
     "may_advise_pause": True,
     "max_pause": "1s",
-    "open_cap": 1000,
+    "probe_price": 0.1,
+    "report_fields": [],
     "cold_from": 0.25,
     "warm_after": "8s",
     "fall_multiple": 2.0,
@@ -53,6 +54,7 @@
         self.acts: list[tuple[str, ...]] = []
         self.wakes: list[tuple[int, int, str]] = []
         self.trips: dict[int, tuple[int, str, int]] = {}
+        self.looks: list[str] = []
         self.balancer: Balancer | None = None
 
     # What the balancer may do.
@@ -71,6 +73,7 @@
         self.acts.append(("withdraw", str(inquiry)))
 
     def probe(self, server: str) -> None:
+        self.looks.append(server)
         self.acts.append(("probe", server))
 
     def wake(self, token: str, after_us: int) -> None:
@@ -98,7 +101,10 @@
 
     def do_given(self, key: str, value: str) -> None:
         kind = type(self.given[key])
-        self.given[key] = value == "yes" if kind is bool else kind(value)
+        if kind is list:
+            self.given[key] = value.split(",")
+        else:
+            self.given[key] = value == "yes" if kind is bool else kind(value)
 
     def do_track(self, name: str, effect: str, **o: str) -> None:
         self.tracks.append(
@@ -146,6 +152,13 @@
             over = outcome == "satisfied" or "over" in flags
             self.started().trip_ended(number, trip, Outcome(outcome), self.now - sent_at, over, None)
 
+    def do_seen(self, **o: str) -> None:
+        report = {key: float(value) for key, value in o.items()}
+        self.started().probe_ended(self.looks.pop(0), Outcome.SATISFIED, 1000, report)
+
+    def do_unseen(self, outcome: str) -> None:
+        self.started().probe_ended(self.looks.pop(0), Outcome(outcome), 1000, None)
+
     def do_leaves(self, name: str) -> None:
         self.started().client_left(int(name))
 
