--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -38,6 +38,8 @@
 
 SECOND = 1_000_000
 SWEEP = SECOND // 4
+# What counts as in time, as a multiple of the mean when all is well.
+IN_TIME = 1.5
 # Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
 MOST_LOOKS = 3
 LOOK_PRICE = 0.01
@@ -46,7 +48,7 @@
 class TrackState:
     """What is learned of a track, for the life of the instance."""
 
-    __slots__ = ("base", "core", "in_time", "median", "slow", "track", "useful_us", "usual_left")
+    __slots__ = ("calm", "core", "in_time", "mean", "median", "slow", "track", "useful_us", "usual_left")
 
     def __init__(self, track: Track, core: bool) -> None:
         self.track = track
@@ -55,9 +57,11 @@
         # Latencies in microseconds: the median, a slow one (nine in ten are faster), and the median
         # when all is well.
         self.median = self.useful_us / 8
+        self.mean = self.median
         self.slow = self.useful_us / 3
-        self.base = self.median
-        self.in_time = 1.5 * self.base
+        # The mean when all is well, and what counts as in time.
+        self.calm = self.mean
+        self.in_time = 1.5 * self.calm
         self.usual_left = 0
 
     def learn(self, latency: int, answered: bool) -> None:
@@ -65,6 +69,7 @@
         self.slow *= 1.036 if latency > self.slow else 0.996
         if answered:
             self.median *= 1.02 if latency > self.median else 0.98
+            self.mean += 0.03 * (latency - self.mean)
 
 
 class Server:
@@ -81,6 +86,7 @@
         "heft",
         "looks",
         "name",
+        "pace",
         "rest_until",
         "seen",
         "strikes",
@@ -98,6 +104,8 @@
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
         self.fail_share = 0.0
         self.strikes = 0
+        # How long its answers took of late, as a multiple of the calm mean.
+        self.pace = 1.0
         self.rest_until = 0
         self.credit = 1.0
         self.born = entry.born_us
@@ -229,7 +237,7 @@
                 useful -= max(0, state.track.patience_us - left_us)
         inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
         self.inquiries[name] = inquiry
-        if inquiry.end - now < state.base:
+        if inquiry.end - now < state.median / 2:
             self._conclude(inquiry, self.max_pause)
             return
         # Core inquiries pass; any other takes a token within a short wait or is dropped.
@@ -556,7 +564,9 @@
             server.fail_share *= 0.8
             server.credit = min(4.0, server.credit + 0.1)
             self._rose()
-            if latency <= state.in_time:
+            # One answer says little, for inquiries differ: in time is a server whose answers of late were.
+            server.pace += 0.2 * (latency / state.calm - server.pace)
+            if server.pace <= IN_TIME:
                 # A cap rises only where it was used up: otherwise the answer says nothing about it.
                 if trip.filled:
                     server.cap += 1
@@ -637,10 +647,10 @@
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
-            state.base = min(state.base * 1.008, state.median)
-            state.in_time = 1.5 * state.base + self.margin
-        self.calm = not self.held and all(s.median <= s.in_time for s in self.tracks.values())
-        self.calm_trip = int(min((s.base for s in self.tracks.values()), default=self.margin))
+            state.calm = min(state.calm * 1.008, state.mean)
+            state.in_time = IN_TIME * state.calm + self.margin
+        self.calm = not self.held and all(s.mean <= s.in_time for s in self.tracks.values())
+        self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
         self.median_fail_share = shares[len(shares) // 2] if shares else 0.0
 
