--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -39,7 +39,9 @@
 SECOND = 1_000_000
 SWEEP = SECOND // 4
 # What counts as in time, as a multiple of the mean when all is well.
-IN_TIME = 1.5
+IN_TIME = 1.25
+# How many times the fleet's median pace marks a server that has fallen behind.
+FAR_BEHIND = 2.0
 # Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
 MOST_LOOKS = 3
 LOOK_PRICE = 0.01
@@ -120,11 +122,25 @@
 class Inquiry:
     """One inquiry, from its arrival to its final answer."""
 
-    __slots__ = ("best", "end", "looks", "name", "out", "over", "ran_at", "ran_on", "state", "trips", "worth")
+    __slots__ = (
+        "best",
+        "end",
+        "looks",
+        "name",
+        "out",
+        "over",
+        "ran_at",
+        "ran_on",
+        "state",
+        "trips",
+        "within",
+        "worth",
+    )
 
-    def __init__(self, name: InquiryId, state: TrackState, worth: float, end: int) -> None:
+    def __init__(self, name: InquiryId, state: TrackState, within: bool, worth: float, end: int) -> None:
         self.name = name
         self.state = state
+        self.within = within
         self.worth = worth
         self.end = end
         self.trips = 0
@@ -210,6 +226,7 @@
         self.tokens = self.burst
         self.refilled_at = host.now
         self.median_fail_share = 0.0
+        self.median_pace = 1.0
         host.wake("sweep", SWEEP)
         if self.list_is_asked:
             host.wake("list", int(self._chance() * self.list_wait_most))
@@ -235,7 +252,7 @@
                 state.usual_left += (usual if left_us > usual else -usual) // 100
             if abs(left_us - usual) > usual // 10:
                 useful -= max(0, state.track.patience_us - left_us)
-        inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
+        inquiry = Inquiry(name, state, within, worth, now + min(useful, left_us) - self.margin)
         self.inquiries[name] = inquiry
         if inquiry.end - now < state.median / 2:
             self._conclude(inquiry, self.max_pause)
@@ -327,7 +344,7 @@
         known.looks -= 1
         if outcome is not Outcome.SATISFIED:
             # No process answers there: nothing was lost by asking first.
-            self._rest(known, now, outcome)
+            self._rest(known, now, outcome.value, 2 * self.calm_trip)
         elif report is not None:
             known.seen = report.get("inflight", report.get("queue", 0.0))
             self._learn_slots(report)
@@ -498,7 +515,7 @@
         """Hold by worth, then in order of arrival."""
         self.order += 1
         heappush(self.held, (-inquiry.worth, self.order, inquiry))
-        heappush(self.last_calls, (inquiry.end - int(inquiry.state.in_time), self.order, inquiry))
+        heappush(self.last_calls, (inquiry.end - int(inquiry.state.slow), self.order, inquiry))
         if not self.watching_held:
             self.watching_held = True
             self.host.wake("held", self.token_wait)
@@ -531,7 +548,9 @@
         while self.last_calls and self.last_calls[0][0] <= now:
             inquiry = heappop(self.last_calls)[2]
             if not inquiry.over and inquiry.out is None:
-                if inquiry.worth <= self.core_worth:
+                if inquiry.within and inquiry.worth <= self.core_worth:
+                    # A token was given for a send that no server had room for. What a tenant sends beyond its
+                    # share tells nothing here: it is held behind all others on purpose.
                     self._fell()
                 self._conclude(inquiry, int(inquiry.state.median))
         self.watching_held = bool(self.held)
@@ -560,37 +579,43 @@
             outcome = Outcome.TIMEOUT
         if outcome is Outcome.SATISFIED:
             state.learn(latency, True)
-            server.strikes = 0
             server.fail_share *= 0.8
             server.credit = min(4.0, server.credit + 0.1)
             self._rose()
             # One answer says little, for inquiries differ: in time is a server whose answers of late were.
             server.pace += 0.2 * (latency / state.calm - server.pace)
             if server.pace <= IN_TIME:
+                server.strikes = 0
                 # A cap rises only where it was used up: otherwise the answer says nothing about it.
                 if trip.filled:
                     server.cap += 1
-            elif server.cap == 1:
-                server.rest_until = max(server.rest_until, now + int(latency - state.in_time))
+            elif server.pace > FAR_BEHIND * max(1.0, self.median_pace):
+                # Far behind the fleet, as a server is that chokes or shares its machine: its answers count as
+                # time-outs, and at a cap of one it rests, which lets a choked server recover.
+                if server.cap > 1:
+                    server.cap //= 2
+                else:
+                    server.pace = IN_TIME
+                    self._rest(server, now, "far behind the fleet", SECOND)
         elif outcome not in (Outcome.WITHDRAWN, Outcome.MOOT):
             if outcome is Outcome.TIMEOUT:
                 state.learn(latency, False)
             self._fell()
-            if trip.inquiry.end - trip.sent_at < state.in_time:
+            if trip.inquiry.end - trip.sent_at < state.slow:
                 # It was sent with too little time left for a usual answer: that is not the server's failure.
                 return
             lowest = server.cap == 1
             server.cap = max(1, server.cap // 2)
             server.fail_share += 0.2 * (1 - server.fail_share)
             if lowest and server.fail_share > self.median_fail_share:
-                self._rest(server, now, outcome)
+                self._rest(server, now, outcome.value, 2 * self.calm_trip)
 
-    def _rest(self, server: Server, now: int, outcome: Outcome) -> None:
-        """Out of the rotation, for longer each time until it answers again."""
+    def _rest(self, server: Server, now: int, why: str, least: int) -> None:
+        """Out of the rotation, for longer each time until it does well again."""
+        server.rest_until = now + (least << min(server.strikes, 3))
         server.strikes += 1
-        server.rest_until = now + (self.calm_trip << min(server.strikes, 5))
         if server.strikes == 3:
-            self.host.log(f"resting {server.name}: {outcome.value}, fail share {server.fail_share:.2f}")
+            self.host.log(f"resting {server.name}: {why}, fail share {server.fail_share:.2f}")
 
     def _may_go_again(self, inquiry: Inquiry, now: int) -> bool:
         """Whether rules and time allow a further trip."""
@@ -652,7 +677,10 @@
         self.calm = not self.held and all(s.mean <= s.in_time for s in self.tracks.values())
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
-        self.median_fail_share = shares[len(shares) // 2] if shares else 0.0
+        paces = sorted(server.pace for server in self.rotation)
+        if shares:
+            self.median_fail_share = shares[len(shares) // 2]
+            self.median_pace = paces[len(paces) // 2]
 
     def _chance(self) -> float:
         self.draws += 1
