--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -39,9 +39,13 @@
 SECOND = 1_000_000
 SWEEP = SECOND // 4
 # What counts as in time, as a multiple of the mean when all is well.
-IN_TIME = 1.25
+IN_TIME = 1.5
 # How many times the fleet's median pace marks a server that has fallen behind.
 FAR_BEHIND = 2.0
+# The part of the bucket that traffic beyond a share may not use.
+RESERVE = 0.75
+# Answers that make a mean worth something.
+ENOUGH = 20
 # Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
 MOST_LOOKS = 3
 LOOK_PRICE = 0.01
@@ -50,7 +54,18 @@
 class TrackState:
     """What is learned of a track, for the life of the instance."""
 
-    __slots__ = ("calm", "core", "in_time", "mean", "median", "slow", "track", "useful_us", "usual_left")
+    __slots__ = (
+        "answers",
+        "calm",
+        "core",
+        "in_time",
+        "mean",
+        "median",
+        "slow",
+        "track",
+        "useful_us",
+        "usual_left",
+    )
 
     def __init__(self, track: Track, core: bool) -> None:
         self.track = track
@@ -60,9 +75,10 @@
         # when all is well.
         self.median = self.useful_us / 8
         self.mean = self.median
+        self.answers = 0
         self.slow = self.useful_us / 3
         # The mean when all is well, and what counts as in time.
-        self.calm = self.mean
+        self.calm = self.slow
         self.in_time = 1.5 * self.calm
         self.usual_left = 0
 
@@ -71,7 +87,8 @@
         self.slow *= 1.036 if latency > self.slow else 0.996
         if answered:
             self.median *= 1.02 if latency > self.median else 0.98
-            self.mean += 0.03 * (latency - self.mean)
+            self.answers += 1
+            self.mean += max(0.01, 1 / (self.answers + 4)) * (latency - self.mean)
 
 
 class Server:
@@ -193,6 +210,7 @@
         self.list_wait = SECOND // 4
         self.beyond = settings.beyond_share_payoff
         self.share_rate = {t.name: t.quota_per_s / settings.instances / SECOND for t in settings.tenants}
+        self.promised = sum(self.share_rate.values())
         self.share_part = {t.name: t.fraction for t in settings.tenants}
         self.warm_after = settings.warm_after_us
         self.cold_from = settings.cold_from
@@ -413,8 +431,8 @@
         """Take or reserve a token; the wait for it, or -1 where it would be too long."""
         self.tokens = min(self.burst, self.tokens + (now - self.refilled_at) * self.rate)
         self.refilled_at = now
-        # One tenant's surge must not drain the bucket for all: beyond a share, half of it stays untouched.
-        short = (1.0 if within else 1.0 + self.burst / 2) - self.tokens
+        # One tenant's surge must not drain the bucket for all: beyond a share, most of it stays untouched.
+        short = (1.0 if within else 1.0 + self.burst * RESERVE) - self.tokens
         wait = int(short / self.rate) + 1 if short > 0 else 0
         if wait > self.token_wait:
             return -1
@@ -548,9 +566,8 @@
         while self.last_calls and self.last_calls[0][0] <= now:
             inquiry = heappop(self.last_calls)[2]
             if not inquiry.over and inquiry.out is None:
-                if inquiry.within and inquiry.worth <= self.core_worth:
-                    # A token was given for a send that no server had room for. What a tenant sends beyond its
-                    # share tells nothing here: it is held behind all others on purpose.
+                if inquiry.worth <= self.core_worth:
+                    # A token was given for a send that no server had room for.
                     self._fell()
                 self._conclude(inquiry, int(inquiry.state.median))
         self.watching_held = bool(self.held)
@@ -583,7 +600,7 @@
             server.credit = min(4.0, server.credit + 0.1)
             self._rose()
             # One answer says little, for inquiries differ: in time is a server whose answers of late were.
-            server.pace += 0.2 * (latency / state.calm - server.pace)
+            server.pace += 0.1 * (latency / state.calm - server.pace)
             if server.pace <= IN_TIME:
                 server.strikes = 0
                 # A cap rises only where it was used up: otherwise the answer says nothing about it.
@@ -668,11 +685,15 @@
         self.metered = self.sent = 0
         # A drop deeper down wastes what the tiers above have done, so the floor there lets the
         # usual traffic pass.
-        self.floor = max(self.arrival_rate * (0.1 if self.front else 1.2), 1 / SECOND)
+        # At the front it is what the tenants' shares promise.
+        self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
+        if self.front:
+            self.floor = max(self.arrival_rate * 0.1, min(self.promised, self.arrival_rate), 1 / SECOND)
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
-            state.calm = min(state.calm * 1.008, state.mean)
+            if state.answers >= ENOUGH:
+                state.calm = min(state.calm * 1.001, state.mean)
             state.in_time = IN_TIME * state.calm + self.margin
         self.calm = not self.held and all(s.mean <= s.in_time for s in self.tracks.values())
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
