--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -78,7 +78,7 @@
         self.answers = 0
         self.slow = self.useful_us / 3
         # The mean when all is well, and what counts as in time.
-        self.calm = self.slow
+        self.calm = self.useful_us / 6
         self.in_time = 1.5 * self.calm
         self.usual_left = 0
 
@@ -693,7 +693,7 @@
         self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
             if state.answers >= ENOUGH:
-                state.calm = min(state.calm * 1.001, state.mean)
+                state.calm = min(state.calm * 1.002, state.mean)
             state.in_time = IN_TIME * state.calm + self.margin
         self.calm = not self.held and all(s.mean <= s.in_time for s in self.tracks.values())
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
