Servers slower than most give up turns in proportion

Cause: at the deepest tier even turns gave a server of p50 200 ms as many calls as one of 35 ms; caps of one with ten callers cannot say less.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -95,6 +95,7 @@
     """What is known of a server, for as long as its process lives."""
 
     __slots__ = (
+        "answers",
         "born",
         "cap",
         "cell",
@@ -110,6 +111,7 @@
         "seen",
         "strikes",
         "trips",
+        "turns",
         "warm_at",
         "zone",
     )
@@ -125,6 +127,8 @@
         self.strikes = 0
         # How long its answers took of late, as a multiple of the calm mean.
         self.pace = 1.0
+        self.answers = 0
+        self.turns = 0.0
         self.rest_until = 0
         self.credit = 1.0
         self.born = entry.born_us
@@ -245,6 +249,7 @@
         self.refilled_at = host.now
         self.median_fail_share = 0.0
         self.median_pace = 1.0
+        self.usual_pace = 1.2
         host.wake("sweep", SWEEP)
         if self.list_is_asked:
             host.wake("list", int(self._chance() * self.list_wait_most))
@@ -469,6 +474,7 @@
     def _ready_from(self, rotation: list[Server], turn: int, inquiry: Inquiry, now: int) -> int:
         """The place in the rotation, from this turn on, of the first server ready; -1 if none is."""
         further = inquiry.trips > 0
+        skipped = -1
         for place in range(turn, turn + len(rotation)):
             if place >= len(rotation):
                 place -= len(rotation)
@@ -482,8 +488,15 @@
                 continue
             if server.warm_at > now and not self._cold_room(server, now):
                 continue
+            if server.pace > self.usual_pace:
+                # Slower than most: it gives up turns in proportion, unless no other server is ready.
+                server.turns += self.usual_pace / server.pace
+                if server.turns < 1:
+                    skipped = place if skipped < 0 else skipped
+                    continue
+                server.turns -= 1
             return place
-        return -1
+        return skipped
 
     def _place(self, inquiry: Inquiry, now: int) -> None:
         """Bind to the next server, or hold."""
@@ -600,7 +613,8 @@
             server.credit = min(4.0, server.credit + 0.1)
             self._rose()
             # One answer says little, for inquiries differ: in time is a server whose answers of late were.
-            server.pace += 0.1 * (latency / state.calm - server.pace)
+            server.answers += 1
+            server.pace += max(0.1, 1 / (server.answers + 2)) * (latency / state.calm - server.pace)
             if server.pace <= IN_TIME:
                 server.strikes = 0
                 # A cap rises only where it was used up: otherwise the answer says nothing about it.
@@ -702,6 +716,7 @@
         if shares:
             self.median_fail_share = shares[len(shares) // 2]
             self.median_pace = paces[len(paces) // 2]
+            self.usual_pace = 1.2 * self.median_pace
 
     def _chance(self) -> float:
         self.draws += 1
