--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -283,7 +283,8 @@
         # Core inquiries pass; any other takes a token within a short wait or is dropped.
         if worth <= self.core_worth:
             self.metered += 1
-            wait = self._take_token(within, now)
+            # Beyond a share nothing waits behind others: it would mostly be turned away in the end.
+            wait = self._take_token(within, now) if within or not self.held else -1
             if wait < 0:
                 self._conclude(inquiry, int(state.median))
                 return
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -159,6 +159,14 @@
     def do_unseen(self, outcome: str) -> None:
         self.started().probe_ended(self.looks.pop(0), Outcome(outcome), 1000, None)
 
+    def do_learn(self, track: str, rounds: str, **o: str) -> None:
+        """So many inquiries one after another, each answered after the time of the server that got it."""
+        times = {name: micros(time) for names, time in o.items() for name in names.split(",")}
+        for number in range(10_000, 10_000 + int(rounds)):
+            self.do_inquiry(str(number), track)
+            self.do_after(f"{times[self.trips[number][1]]}us")
+            self.do_ends(str(number), "satisfied")
+
     def do_leaves(self, name: str) -> None:
         self.started().client_left(int(name))
 
@@ -181,6 +189,12 @@
                 int(o.get("least", 0)) <= number <= int(o.get("most", 1 << 30))
             ), f"{number} times: {rest[0]}"
             self.acts = [a for a in self.acts if a[0] != rest[0]]
+        elif act == "fewer":
+            count = {
+                name: sum(a[0] == "send" and a[-1] == name for a in self.acts)
+                for name in (o["to"], o["than"])
+            }
+            assert count[o["to"]] < 0.7 * count[o["than"]], f"sends: {count}"
         elif act == "no":
             bad = [a for a in self.acts if a[0] == rest[0] and self.fits(a, rest[1:], o)]
             assert not bad, f"unexpected: {bad}"
