--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -424,8 +424,8 @@
     def _within_share(self, tenant: str, now: int) -> bool:
         """Count an inquiry against its tenant's share of what this node sees.
 
-        Deeper down all are within: what the front let in has cost work already, and a drop there would look like
-        a failure of the server above.
+        Deeper down all are within: what the front let in has cost work already, and a drop there would look
+        like a failure of the server above.
         """
         rate = self.share_rate.get(tenant)
         if rate is None or not self.front:
