--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -648,7 +648,7 @@
 
     def _rest(self, server: Server, now: int, why: str, least: int) -> None:
         """Out of the rotation, for longer each time until it does well again."""
-        server.rest_until = now + (least << min(server.strikes, 6))
+        server.rest_until = now + (least << min(server.strikes, 3))
         server.strikes += 1
         if server.strikes == 3:
             self.host.log(f"resting {server.name}: {why}, fail share {server.fail_share:.2f}")
