Tidy-up: dead state and a repeated choose-or-hold taken out, no behaviour changed

Gone: a track's core flag, a server's heft, an inquiry's within, a node's link, the carried-time setting and the usual pace kept beside the median it came from; one error class that only renamed another. An arriving inquiry now uses the same choose-or-hold as a further trip.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -11,7 +11,7 @@
 1. rest: a server that does badly at a cap of one, worse than the fleet's median, or whose oldest trip is
    overdue, is passed over for a while;
 2. credit: a further trip goes only to a server whose answers earned it; trip time-outs come from answers;
-3. shares: a tenant's traffic beyond its share is worth less, comes last and leaves half the bucket to others;
+3. shares: what a tenant sends beyond its share is worth less, comes last and leaves others most of the bucket;
 4. cold budget: a server that has just started gets trips at a rate within the rule;
 5. own zone first: while all goes well, the rotation begins with the servers of the node's own zone;
 6. look: where probes cost next to nothing, a server is asked for its load before a trip is sent to it.
@@ -40,7 +40,8 @@
 SWEEP = SECOND // 4
 # What counts as in time, as a multiple of the mean when all is well.
 IN_TIME = 1.5
-# How many times the fleet's median pace marks a server that has fallen behind.
+# How many times the fleet's median pace marks a server that gives up turns, and one that has fallen behind.
+SLOWER = 1.2
 FAR_BEHIND = 2.0
 # The part of the bucket that traffic beyond a share may not use.
 RESERVE = 0.75
@@ -57,7 +58,6 @@
     __slots__ = (
         "answers",
         "calm",
-        "core",
         "in_time",
         "mean",
         "median",
@@ -67,19 +67,17 @@
         "usual_left",
     )
 
-    def __init__(self, track: Track, core: bool) -> None:
+    def __init__(self, track: Track) -> None:
         self.track = track
-        self.core = core
         self.useful_us = track.patience_us if track.late_payoff > 0 else track.expected_time_us
-        # Latencies in microseconds: the median, a slow one (nine in ten are faster), and the median
-        # when all is well.
+        # Latencies in microseconds: the median, the mean, and a slow one (nine in ten are faster).
         self.median = self.useful_us / 8
         self.mean = self.median
         self.answers = 0
         self.slow = self.useful_us / 3
         # The mean when all is well, and what counts as in time.
         self.calm = self.useful_us / 6
-        self.in_time = 1.5 * self.calm
+        self.in_time = IN_TIME * self.calm
         self.usual_left = 0
 
     def learn(self, latency: int, answered: bool) -> None:
@@ -103,7 +101,6 @@
         "cold_tokens",
         "credit",
         "fail_share",
-        "heft",
         "looks",
         "name",
         "pace",
@@ -120,7 +117,6 @@
         self.name = entry.server
         self.zone = entry.zone
         self.cell = entry.cell
-        self.heft = entry.heft
         self.cap = cap
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
         self.fail_share = 0.0
@@ -154,14 +150,12 @@
         "ran_on",
         "state",
         "trips",
-        "within",
         "worth",
     )
 
-    def __init__(self, name: InquiryId, state: TrackState, within: bool, worth: float, end: int) -> None:
+    def __init__(self, name: InquiryId, state: TrackState, worth: float, end: int) -> None:
         self.name = name
         self.state = state
-        self.within = within
         self.worth = worth
         self.end = end
         self.trips = 0
@@ -199,7 +193,7 @@
         # Settings, as the few figures that decisions use.
         payoffs = [track.payoff for track in settings.tracks]
         self.core_worth = sum(payoffs) / max(1, len(payoffs))
-        self.tracks = {t.name: TrackState(t, t.payoff > self.core_worth) for t in settings.tracks}
+        self.tracks = {t.name: TrackState(t) for t in settings.tracks}
         self.front = settings.layer == 0
         self.max_trips = settings.max_trips
         self.may_withdraw = settings.may_withdraw
@@ -207,9 +201,8 @@
         self.margin = max(2 * settings.tick_us, 5_000)
         self.token_wait = max(2 * settings.tick_us, 10_000)
         self.zone = settings.zone
-        can_look = settings.may_probe and {"inflight", "queue"} & set(settings.report_fields)
-        self.looks_pay = bool(can_look) and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
-        self.list_is_asked = settings.list_is_asked
+        can_look = settings.may_probe and not {"inflight", "queue"}.isdisjoint(settings.report_fields)
+        self.looks_pay = can_look and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
         self.list_wait_most = max(SECOND, settings.ask_every_us // 5)
         self.list_wait = SECOND // 4
         self.beyond = settings.beyond_share_payoff
@@ -248,9 +241,8 @@
         self.refilled_at = host.now
         self.median_fail_share = 0.0
         self.median_pace = 1.0
-        self.usual_pace = 1.2
         host.wake("sweep", SWEEP)
-        if self.list_is_asked:
+        if settings.list_is_asked:
             host.wake("list", int(self._chance() * self.list_wait_most))
 
     # An inquiry's path.
@@ -264,9 +256,8 @@
         # What it is worth now: a track's payoff, or little of it beyond the tenant's share.
         within = tenant is None or self._within_share(tenant, now)
         worth = state.track.payoff * (1.0 if within else self.beyond)
-        # Until when an answer is worth anything. A try whose time left is not the usual one of its
-        # track is a later
-        # try, bounded by the client's patience: the rest of that has gone by already.
+        # Until when an answer is worth anything. A try whose time left is not the usual one of its track is
+        # a later try, bounded by the client's patience: the rest of that has gone by already.
         useful = state.useful_us
         if self.front:
             usual = state.usual_left = state.usual_left or left_us
@@ -274,7 +265,7 @@
                 state.usual_left += (usual if left_us > usual else -usual) // 100
             if abs(left_us - usual) > usual // 10:
                 useful -= max(0, state.track.patience_us - left_us)
-        inquiry = Inquiry(name, state, within, worth, now + min(useful, left_us) - self.margin)
+        inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
         self.inquiries[name] = inquiry
         if inquiry.end - now < state.median / 2:
             self._conclude(inquiry, self.max_pause)
@@ -291,11 +282,7 @@
                 self.host.wake(f"token {name}", wait)
                 return
         # Let in: to the next server of the rotation that is under its cap, or held until there is one.
-        server = self._next_server(inquiry, now)
-        if server is None:
-            self._hold(inquiry, now)
-        else:
-            self._bind(inquiry, server, now)
+        self._place(inquiry, now)
 
     def answer_started(self, name: InquiryId, number: int, latency_us: int) -> None:
         """A streamed answer has begun: the trip is the client's now, its times no longer count."""
@@ -478,6 +465,7 @@
     def _ready_from(self, rotation: list[Server], turn: int, inquiry: Inquiry, now: int) -> int:
         """The place in the rotation, from this turn on, of the first server ready; -1 if none is."""
         further = inquiry.trips > 0
+        usual_pace = SLOWER * self.median_pace
         skipped = -1
         for place in range(turn, turn + len(rotation)):
             if place >= len(rotation):
@@ -492,9 +480,9 @@
                 continue
             if server.warm_at > now and not self._cold_room(server, now):
                 continue
-            if server.pace > self.usual_pace:
+            if server.pace > usual_pace:
                 # Slower than most: it gives up turns in proportion, unless no other server is ready.
-                server.turns += self.usual_pace / server.pace
+                server.turns += usual_pace / server.pace
                 if server.turns < 1:
                     skipped = place if skipped < 0 else skipped
                     continue
@@ -702,9 +690,8 @@
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
         self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
         self.metered = self.sent = 0
-        # A drop deeper down wastes what the tiers above have done, so the floor there lets the
-        # usual traffic pass.
-        # At the front it is what the tenants' shares promise.
+        # A drop deeper down wastes what the tiers above have done, so the floor there lets the usual traffic
+        # pass. At the front it is what the tenants' shares promise.
         self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
         if self.front:
             self.floor = max(self.arrival_rate * 0.1, min(self.promised, self.arrival_rate), 1 / SECOND)
@@ -721,7 +708,6 @@
         if shares:
             self.median_fail_share = shares[len(shares) // 2]
             self.median_pace = paces[len(paces) // 2]
-            self.usual_pace = 1.2 * self.median_pace
 
     def _chance(self) -> float:
         self.draws += 1
--- a/coraldeal/benchlink/link.py
+++ b/coraldeal/benchlink/link.py
@@ -33,17 +33,12 @@
     """The input is not as the wire's page says."""
 
 
-class ModuleFault(Exception):
-    """The decisions could not go on; the text is for the wire."""
-
-
 class Node:
     """One instance: the host that its balancer acts through, writing each act straight as a line."""
 
-    __slots__ = ("balancer", "link", "name", "now", "out")
+    __slots__ = ("balancer", "name", "now", "out")
 
-    def __init__(self, link: Link, name: str) -> None:
-        self.link = link
+    def __init__(self, name: str) -> None:
         self.name = name
         self.now = 0
         self.out: list[str] = []
@@ -145,7 +140,7 @@
         int(name)
         node = self.nodes.get(name)
         if node is None:
-            node = self.nodes[name] = Node(self, name)
+            node = self.nodes[name] = Node(name)
         node.now = self.now
         self.node = node
 
@@ -154,11 +149,7 @@
         if node is None:
             raise WireError("'boot' before 'context'")
         seed, text = rest.partition("\t")[::2]
-        try:
-            settings = read_settings(text)
-        except SettingsError as error:
-            raise ModuleFault(str(error)) from None
-        node.balancer = Balancer(node, settings, int(seed))
+        node.balancer = Balancer(node, read_settings(text), int(seed))
 
     def destroy(self, rest: str) -> None:
         if self.node is None:
@@ -194,7 +185,7 @@
             balancer.servers_listed(KINDS[kind], self.sheets[sheet])
 
     def ask(self, rest: str) -> None:
-        inquiry, track, tenant, left, _, hint, marks = self._fields(rest, 7)
+        inquiry, track, tenant, left, _, _, marks = self._fields(rest, 7)
         bits = 0 if marks == "-" else int(marks)
         self._current().inquiry_arrived(
             int(inquiry),
@@ -279,9 +270,9 @@
 
     try:
         link.run()
-    except ModuleFault as fault:
-        report_bug(str(fault))
-        print(f"line {link.line_number}: {fault}", file=errors)
+    except SettingsError as error:
+        report_bug(str(error))
+        print(f"line {link.line_number}: {error}", file=errors)
         return 1
     except Exception as error:
         if _in_module(error):
--- a/coraldeal/benchlink/settings.py
+++ b/coraldeal/benchlink/settings.py
@@ -87,8 +87,6 @@
     except ValueError as error:
         raise SettingsError(f"settings are not JSON: {error}") from None
     bounds, rules, reporting = top.part("bounds"), top.part("rules"), top.part("reporting")
-    specifics = top.values.get("specifics")
-    carries = isinstance(specifics, dict) and specifics.get("passes_deadline") is True
     asked = top.word("discovery", {"ask": True, "push": False})
     return Settings(
         layer=top.whole("layer"),
@@ -111,7 +109,6 @@
         warm_after_us=rules.micros("warm_after_ns"),
         fall_multiple=rules.number("fall_multiple"),
         fall_us=rules.micros("fall_ns"),
-        carries_time_left=carries,
         report_fields=[str(name) for name in reporting.values.get("fields") or []],
         reports_in_answers=reporting.word("how", {"inline": True, "on_probe": False, "off": False}),
     )
--- a/coraldeal/interface.py
+++ b/coraldeal/interface.py
@@ -123,7 +123,6 @@
     warm_after_us: int
     fall_multiple: float
     fall_us: int
-    carries_time_left: bool
     report_fields: list[str] = field(default_factory=list)
     reports_in_answers: bool = False
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -33,7 +33,6 @@
     "warm_after": "8s",
     "fall_multiple": 2.0,
     "fall": "1s",
-    "carries_time_left": False,
 }
 
 
@@ -42,6 +41,12 @@
     return round(float(number) * UNITS[text[len(number) :]])
 
 
+def numbers(name: str) -> range:
+    """`7` is one inquiry, `1-20` are many."""
+    first, _, last = name.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
 class Scene:
     """The host of one balancer, the clock, and the acts not yet expected by a line."""
 
@@ -141,13 +146,11 @@
         left = (
             micros(o["left"]) if "left" in o else next(t.patience_us for t in self.tracks if t.name == track)
         )
-        first, _, last = name.partition("-")
-        for number in range(int(first), int(last or first) + 1):
+        for number in numbers(name):
             self.started().inquiry_arrived(number, track, o.get("tenant"), left, "repeat" in flags)
 
     def do_ends(self, name: str, outcome: str, *flags: str) -> None:
-        first, _, last = name.partition("-")
-        for number in range(int(first), int(last or first) + 1):
+        for number in numbers(name):
             trip, _, sent_at = self.trips[number]
             over = outcome == "satisfied" or "over" in flags
             self.started().trip_ended(number, trip, Outcome(outcome), self.now - sent_at, over, None)
