--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -11,7 +11,7 @@
 1. rest: a server that does badly at a cap of one, worse than the fleet's median, or whose oldest trip is
    overdue, is passed over for a while;
 2. credit: a further trip goes only to a server whose answers earned it; trip time-outs come from answers;
-3. shares: what a tenant sends beyond its share is worth less, comes last and leaves others most of the bucket;
+3. shares: what a tenant sends beyond its share is worth less, comes last, leaves others most of the bucket;
 4. cold budget: a server that has just started gets trips at a rate within the rule;
 5. own zone first: while all goes well, the rotation begins with the servers of the node's own zone;
 6. look: where probes cost next to nothing, a server is asked for its load before a trip is sent to it.
