Narrow rotation: with many nodes each rotates over a part of the tier, so that caps bind

Cause: a cap of one at every server of the tier, times hundreds of nodes, holds nothing back. Each node now rotates over as many servers of its own random order (own zone first) as put about eight nodes to a server; a rested server goes to the end of the order.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -45,6 +45,8 @@
 FAR_BEHIND = 2.0
 # The part of the bucket that traffic beyond a share may not use.
 RESERVE = 0.75
+# In the rotations of how many nodes a server should be.
+COMPANY = 8
 # Answers that make a mean worth something.
 ENOUGH = 20
 # Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
@@ -104,6 +106,7 @@
         "looks",
         "name",
         "pace",
+        "rank",
         "rest_until",
         "seen",
         "strikes",
@@ -113,8 +116,10 @@
         "zone",
     )
 
-    def __init__(self, entry: Entry, cap: int, warm_after: int, now: int) -> None:
+    def __init__(self, entry: Entry, cap: int, warm_after: int, now: int, rank: float) -> None:
         self.name = entry.server
+        # Its place in the node's own order of servers.
+        self.rank = rank
         self.zone = entry.zone
         self.cell = entry.cell
         self.cap = cap
@@ -214,6 +219,9 @@
         self.fall_us = settings.fall_us
         # State of the instance.
         self.servers: dict[ServerId, Server] = {}
+        self.instances = settings.instances
+        self.last_rank = 2.0
+        self.ranked: list[Server] = []
         self.rotation: list[Server] = []
         self.near: list[Server] = []
         self.turn = self.near_turn = 0
@@ -389,16 +397,22 @@
             known = self.servers.get(entry.server)
             if known is None or known.born < entry.born_us:
                 # A restart under the same id is a new, cold server.
-                known = Server(entry, mean_cap, self.warm_after, now)
+                rank = crc32(f"{self.seed} {entry.server}".encode()) / 2**32 + (entry.zone != self.zone)
+                known = Server(entry, mean_cap, self.warm_after, now, rank)
             told[entry.server] = known
         self.servers = told
-        self.rotation = list(told.values())
         # The order is this node's own and random, so that nodes do not send in step.
-        self.rotation.sort(key=lambda s: crc32(f"{self.seed} {s.name}".encode()))
+        self.ranked = sorted(told.values(), key=lambda s: s.rank)
+        self._draw_rotation()
+        self._fill(now)
+
+    def _draw_rotation(self) -> None:
+        """The first servers of the node's order: all of them, or with many nodes a part that caps can rule."""
+        many = max(2, -(-COMPANY * len(self.ranked) // self.instances))
+        self.rotation = self.ranked[:many]
         self.near = [s for s in self.rotation if s.zone == self.zone]
         self.turn = self.turn % max(1, len(self.rotation))
         self.near_turn = self.near_turn % max(1, len(self.near))
-        self._fill(now)
 
     def list_failed(self) -> None:
         """The list did not answer or broke off: ask again after a growing wait, out of step with others."""
@@ -638,6 +652,13 @@
         """Out of the rotation, for longer each time until it does well again."""
         server.rest_until = now + (least << min(server.strikes, 3))
         server.strikes += 1
+        if len(self.ranked) > len(self.rotation) and self.servers.get(server.name) is server:
+            # Another takes its turns: a rotation of a few servers must not stay with bad ones.
+            self.last_rank += 1
+            server.rank = self.last_rank
+            self.ranked.remove(server)
+            self.ranked.append(server)
+            self._draw_rotation()
         if server.strikes == 3:
             self.host.log(f"resting {server.name}: {why}, fail share {server.fail_share:.2f}")
 
