--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -46,7 +46,7 @@
 # The part of the bucket that traffic beyond a share may not use.
 RESERVE = 0.75
 # In the rotations of how many nodes a server should be.
-COMPANY = 8
+COMPANY = 4
 # Answers that make a mean worth something.
 ENOUGH = 20
 # Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
