Beyond a share only a learned part of the traffic is let in, none at the start

Now a chance lets it in that grows by 0.02 each calm quarter second, is halved by a failed send and falls while the node is not calm. Calm is judged by a pace pooled over all servers.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -247,6 +247,10 @@
         self.burst = 100.0
         self.tokens = self.burst
         self.refilled_at = host.now
+        # The part of the traffic beyond shares that is let in: none until the node has seen calm.
+        self.spare = 0.0
+        # How long answers took of late, from any server, as a multiple of the calm mean.
+        self.pace = 1.0
         self.median_fail_share = 0.0
         self.median_pace = 1.0
         host.wake("sweep", SWEEP)
@@ -282,7 +286,7 @@
         if worth <= self.core_worth:
             self.metered += 1
             # Beyond a share nothing waits behind others: it would mostly be turned away in the end.
-            wait = self._take_token(within, now) if within or not self.held else -1
+            wait = self._take_token(within, now) if within or self._spare_room() else -1
             if wait < 0:
                 self._conclude(inquiry, int(state.median))
                 return
@@ -449,8 +453,13 @@
         self.tokens -= 1
         return wait
 
+    def _spare_room(self) -> bool:
+        """Whether one inquiry beyond its tenant's share is let in: by a chance that grows while all is calm."""
+        return not self.held and self._chance() < self.spare
+
     def _fell(self) -> None:
         """A send failed: from a rate that admits all down to where it matters, then step by step."""
+        self.spare /= 2
         if self.host.now - self.started < SECOND:
             # A new node does not know its own arrivals yet; one early failure must not shut the bucket.
             return
@@ -619,6 +628,7 @@
             server.credit = min(4.0, server.credit + 0.1)
             self._rose()
             # One answer says little, for inquiries differ: in time is a server whose answers of late were.
+            self.pace += 0.1 * (latency / state.calm - self.pace)
             server.answers += 1
             server.pace += max(0.1, 1 / (server.answers + 2)) * (latency / state.calm - server.pace)
             if server.pace <= IN_TIME:
@@ -722,7 +732,8 @@
             if state.answers >= ENOUGH:
                 state.calm = min(state.calm * 1.002, state.mean)
             state.in_time = IN_TIME * state.calm + self.margin
-        self.calm = not self.held and all(s.mean <= s.in_time for s in self.tracks.values())
+        self.calm = not self.held and self.pace <= IN_TIME
+        self.spare = min(1.0, self.spare + 0.02) if self.calm else self.spare * 0.8
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
         paces = sorted(server.pace for server in self.rotation)
