A tenant's share is at least eight inquiries deep at each node

Cause: with hundreds of nodes a small tenant's share is a trickle of one inquiry in some seconds; at a depth of two the noise of arrivals judged a quarter of it beyond its share.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -47,6 +47,8 @@
 RESERVE = 0.75
 # In the rotations of how many nodes a server should be.
 COMPANY = 4
+# What a tenant may leave unused of its share at one node and send later, in inquiries, at the least.
+SHARE_DEPTH = 8.0
 # Answers that make a mean worth something.
 ENOUGH = 20
 # Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
@@ -235,7 +237,7 @@
         self.last_calls: list[tuple[int, int, Inquiry]] = []
         self.order = 0
         self.watching_held = False
-        self.share_tokens = {t.name: (self.share_rate[t.name] * SECOND, host.now) for t in settings.tenants}
+        self.share_tokens = {t.name: (1.0 + self.share_rate[t.name] * SECOND, host.now) for t in settings.tenants}
         # The bucket: rates are tokens a microsecond. It starts open, until own arrivals are known.
         self.started = host.now
         self.metered = 0
@@ -436,7 +438,8 @@
         if rate is None or not self.front:
             return True
         tokens, since = self.share_tokens[tenant]
-        tokens = min(max(2.0, rate * SECOND), tokens + (now - since) * rate)
+        # Deep enough that the noise of a trickle is no surge; a tenant beyond its share never fills it.
+        tokens = min(max(SHARE_DEPTH, rate * SECOND), tokens + (now - since) * rate)
         within = tokens >= 1
         self.share_tokens[tenant] = (tokens - 1 if within else tokens, now)
         return within
