Steps of the rate by how many answers there are; beyond a share only what is left of the promise

Causes: (1) two percent down and one up settles at a third of sends failed, and with five answers a second a node takes a minute to recover; now steps are eight to one and larger where answers are few.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -40,6 +40,8 @@
 SWEEP = SECOND // 4
 # What counts as in time, as a multiple of the mean when all is well.
 IN_TIME = 1.5
+# Up to what part of their time answers may take while a node is calm.
+CALM = 0.5
 # How many times the fleet's median pace marks a server that gives up turns, and one that has fallen behind.
 SLOWER = 1.2
 FAR_BEHIND = 2.0
@@ -237,7 +239,16 @@
         self.last_calls: list[tuple[int, int, Inquiry]] = []
         self.order = 0
         self.watching_held = False
-        self.share_tokens = {t.name: (1.0 + self.share_rate[t.name] * SECOND, host.now) for t in settings.tenants}
+        # At first a second's share and what chance may add to it.
+        self.share_tokens = {
+            name: (1 + rate * SECOND + 2 * (rate * SECOND) ** 0.5, host.now)
+            for name, rate in self.share_rate.items()
+        }
+        # The part of the traffic beyond shares that is let in: none until some time went well.
+        self.spare = 0.0
+        # What the tenants left unused of all that is promised.
+        self.unused = 0.0
+        self.unused_at = host.now
         # The bucket: rates are tokens a microsecond. It starts open, until own arrivals are known.
         self.started = host.now
         self.metered = 0
@@ -245,14 +256,13 @@
         self.arrival_rate = 0.0
         self.send_rate = 0.0
         self.rate = 1000 / SECOND
+        self.rise = 0.01
         self.floor = 1 / SECOND
         self.burst = 100.0
         self.tokens = self.burst
         self.refilled_at = host.now
-        # The part of the traffic beyond shares that is let in: none until the node has seen calm.
-        self.spare = 0.0
-        # How long answers took of late, from any server, as a multiple of the calm mean.
-        self.pace = 1.0
+        # How long answers took of late, from any server, as a part of the time they have.
+        self.pace = 0.0
         self.median_fail_share = 0.0
         self.median_pace = 1.0
         host.wake("sweep", SWEEP)
@@ -269,6 +279,7 @@
         state = self.tracks[track]
         # What it is worth now: a track's payoff, or little of it beyond the tenant's share.
         within = tenant is None or self._within_share(tenant, now)
+        promise_left = self._promise_left(within, now)
         worth = state.track.payoff * (1.0 if within else self.beyond)
         # Until when an answer is worth anything. A try whose time left is not the usual one of its track is
         # a later try, bounded by the client's patience: the rest of that has gone by already.
@@ -288,7 +299,7 @@
         if worth <= self.core_worth:
             self.metered += 1
             # Beyond a share nothing waits behind others: it would mostly be turned away in the end.
-            wait = self._take_token(within, now) if within or self._spare_room() else -1
+            wait = self._take_token(within, now) if within or (promise_left and self._spare_room()) else -1
             if wait < 0:
                 self._conclude(inquiry, int(state.median))
                 return
@@ -437,12 +448,25 @@
         rate = self.share_rate.get(tenant)
         if rate is None or not self.front:
             return True
-        tokens, since = self.share_tokens[tenant]
+        return self._take_share(tenant, rate, now)
+
+    def _take_share(self, name: str, rate: float, now: int) -> bool:
+        """Take one from what a tenant's share has left at this node."""
+        tokens, since = self.share_tokens[name]
         # Deep enough that the noise of a trickle is no surge; a tenant beyond its share never fills it.
         tokens = min(max(SHARE_DEPTH, rate * SECOND), tokens + (now - since) * rate)
-        within = tokens >= 1
-        self.share_tokens[tenant] = (tokens - 1 if within else tokens, now)
-        return within
+        left = tokens >= 1
+        self.share_tokens[name] = (tokens - 1 if left else tokens, now)
+        return left
+
+    def _promise_left(self, within: bool, now: int) -> bool:
+        """Count an inquiry against the promise to all; whether there is room for one beyond its share."""
+        self.unused = min(1.0, self.unused + (now - self.unused_at) * self.promised)
+        self.unused_at = now
+        left = self.unused >= 1
+        if within or left:
+            self.unused = max(-SHARE_DEPTH, self.unused - 1)
+        return left
 
     def _take_token(self, within: bool, now: int) -> int:
         """Take or reserve a token; the wait for it, or -1 where it would be too long."""
@@ -457,7 +481,7 @@
         return wait
 
     def _spare_room(self) -> bool:
-        """Whether one inquiry beyond its tenant's share is let in: by a chance that grows while all is calm."""
+        """Whether one inquiry beyond its tenant's share is let in: by a chance that grows while all is well."""
         return not self.held and self._chance() < self.spare
 
     def _fell(self) -> None:
@@ -466,11 +490,11 @@
         if self.host.now - self.started < SECOND:
             # A new node does not know its own arrivals yet; one early failure must not shut the bucket.
             return
-        self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * 0.98)
+        self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * (1 - 8 * self.rise))
 
     def _rose(self) -> None:
         if self.rate < 4 * self.arrival_rate:
-            self.rate *= 1.01
+            self.rate *= 1 + self.rise
 
     # The rotation.
 
@@ -631,7 +655,7 @@
             server.credit = min(4.0, server.credit + 0.1)
             self._rose()
             # One answer says little, for inquiries differ: in time is a server whose answers of late were.
-            self.pace += 0.1 * (latency / state.calm - self.pace)
+            self.pace += 0.1 * (latency / state.useful_us - self.pace)
             server.answers += 1
             server.pace += max(0.1, 1 / (server.answers + 2)) * (latency / state.calm - server.pace)
             if server.pace <= IN_TIME:
@@ -724,6 +748,8 @@
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
         self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
         self.metered = self.sent = 0
+        # The rate follows within seconds, whether answers are many or few: few of them take larger steps.
+        self.rise = min(0.02, max(0.005, 0.1 / (self.send_rate * SECOND + 1)))
         # A drop deeper down wastes what the tiers above have done, so the floor there lets the usual traffic
         # pass. At the front it is what the tenants' shares promise.
         self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
@@ -735,8 +761,8 @@
             if state.answers >= ENOUGH:
                 state.calm = min(state.calm * 1.002, state.mean)
             state.in_time = IN_TIME * state.calm + self.margin
-        self.calm = not self.held and self.pace <= IN_TIME
-        self.spare = min(1.0, self.spare + 0.02) if self.calm else self.spare * 0.8
+        self.calm = not self.held and self.pace <= CALM
+        self.spare = self.spare * 0.8 if self.held else min(1.0, self.spare + 0.02)
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
         paces = sorted(server.pace for server in self.rotation)
