--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 from heapq import heappop, heappush
+from itertools import islice
 from zlib import crc32
 
 from coraldeal.interface import (
@@ -224,7 +225,6 @@
         # State of the instance.
         self.servers: dict[ServerId, Server] = {}
         self.instances = settings.instances
-        self.last_rank = 2.0
         self.ranked: list[Server] = []
         self.rotation: list[Server] = []
         self.near: list[Server] = []
@@ -420,13 +420,16 @@
         self.servers = told
         # The order is this node's own and random, so that nodes do not send in step.
         self.ranked = sorted(told.values(), key=lambda s: s.rank)
-        self._draw_rotation()
+        self._draw_rotation(now)
         self._fill(now)
 
-    def _draw_rotation(self) -> None:
+    def _draw_rotation(self, now: int) -> None:
         """The first servers of the node's order: all of them, or with many nodes a part that caps can rule."""
         many = max(2, -(-COMPANY * len(self.ranked) // self.instances))
-        self.rotation = self.ranked[:many]
+        self.rotation = self.ranked
+        if many < len(self.ranked):
+            awake = (s for s in self.ranked if s.rest_until <= now)
+            self.rotation = list(islice(awake, many)) or self.ranked[:many]
         self.near = [s for s in self.rotation if s.zone == self.zone]
         self.turn = self.turn % max(1, len(self.rotation))
         self.near_turn = self.near_turn % max(1, len(self.near))
@@ -689,13 +692,9 @@
         """Out of the rotation, for longer each time until it does well again."""
         server.rest_until = now + (least << min(server.strikes, 3))
         server.strikes += 1
-        if len(self.ranked) > len(self.rotation) and self.servers.get(server.name) is server:
-            # Another takes its turns: a rotation of a few servers must not stay with bad ones.
-            self.last_rank += 1
-            server.rank = self.last_rank
-            self.ranked.remove(server)
-            self.ranked.append(server)
-            self._draw_rotation()
+        if len(self.ranked) > len(self.rotation):
+            # Another takes its turns until it is back: a narrow rotation must not wait for one that rests.
+            self._draw_rotation(now)
         if server.strikes == 3:
             self.host.log(f"resting {server.name}: {why}, fail share {server.fail_share:.2f}")
 
@@ -744,6 +743,8 @@
     def _sweep(self, now: int) -> None:
         """Four times a second: rates, the bucket's size, what counts as in time, the fleet's median."""
         self.host.wake("sweep", SWEEP)
+        if len(self.rotation) < len(self.ranked):
+            self._draw_rotation(now)
         weight = 0.5 if now - self.started < 2 * SECOND else 0.1
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
         self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
