Places of the narrow rotation spread by the node's number; shares begin with one inquiry

Causes: (1) by chance one first-tier server stands in twice as many rotations as another and chokes first; places now follow golden-section steps of the node's number on a common order, replacements stay a matter of chance. (2) a second's share for each tenant at each of 250 nodes was several seconds of traffic at once, and fourteen first-tier servers choked within four seconds.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -111,7 +111,6 @@
         "looks",
         "name",
         "pace",
-        "rank",
         "rest_until",
         "seen",
         "strikes",
@@ -121,10 +120,8 @@
         "zone",
     )
 
-    def __init__(self, entry: Entry, cap: int, warm_after: int, now: int, rank: float) -> None:
+    def __init__(self, entry: Entry, cap: int, warm_after: int, now: int) -> None:
         self.name = entry.server
-        # Its place in the node's own order of servers.
-        self.rank = rank
         self.zone = entry.zone
         self.cell = entry.cell
         self.cap = cap
@@ -225,6 +222,9 @@
         # State of the instance.
         self.servers: dict[ServerId, Server] = {}
         self.instances = settings.instances
+        self.width = 2
+        # Steps of the golden section fall evenly, however nodes are numbered over zones.
+        self.place = settings.self_index * 0.6180339887 % 1.0
         self.ranked: list[Server] = []
         self.rotation: list[Server] = []
         self.near: list[Server] = []
@@ -239,15 +239,11 @@
         self.last_calls: list[tuple[int, int, Inquiry]] = []
         self.order = 0
         self.watching_held = False
-        # At first a second's share and what chance may add to it.
-        self.share_tokens = {
-            name: (1 + rate * SECOND + 2 * (rate * SECOND) ** 0.5, host.now)
-            for name, rate in self.share_rate.items()
-        }
-        # The part of the traffic beyond shares that is let in: none until some time went well.
-        self.spare = 0.0
+        self.share_tokens = {name: (1.0, host.now) for name in self.share_rate}
+        # The part of the traffic beyond shares that is let in, from what the shares leave unused.
+        self.spare = 0.5
         # What the tenants left unused of all that is promised.
-        self.unused = 0.0
+        self.unused = 1.0
         self.unused_at = host.now
         # The bucket: rates are tokens a microsecond. It starts open, until own arrivals are known.
         self.started = host.now
@@ -299,7 +295,7 @@
         if worth <= self.core_worth:
             self.metered += 1
             # Beyond a share nothing waits behind others: it would mostly be turned away in the end.
-            wait = self._take_token(within, now) if within or (promise_left and self._spare_room()) else -1
+            wait = self._take_token(within, now) if within or self._spare_room(promise_left) else -1
             if wait < 0:
                 self._conclude(inquiry, int(state.median))
                 return
@@ -414,22 +410,36 @@
             known = self.servers.get(entry.server)
             if known is None or known.born < entry.born_us:
                 # A restart under the same id is a new, cold server.
-                rank = crc32(f"{self.seed} {entry.server}".encode()) / 2**32 + (entry.zone != self.zone)
-                known = Server(entry, mean_cap, self.warm_after, now, rank)
+                known = Server(entry, mean_cap, self.warm_after, now)
             told[entry.server] = known
         self.servers = told
-        # The order is this node's own and random, so that nodes do not send in step.
-        self.ranked = sorted(told.values(), key=lambda s: s.rank)
+        self.ranked = self._ranked(list(told.values()))
         self._draw_rotation(now)
         self._fill(now)
 
+    def _ranked(self, servers: list[Server]) -> list[Server]:
+        """The node's own order: its zone first, then by chance, so that nodes do not send in step.
+
+        With many nodes the rotation is the first few of them. Those are spread by the node's number: chance
+        alone would put twice as many nodes to one server as to another. Replacements come by chance, so that
+        the nodes of a bad server part.
+        """
+        own = sorted(servers, key=lambda s: (s.zone != self.zone, crc32(f"{self.seed} {s.name}".encode())))
+        self.width = max(2, -(-COMPANY * len(servers) // self.instances))
+        if self.width >= len(servers):
+            return own
+        ring = [s for s in servers if s.zone == self.zone] or servers
+        ring.sort(key=lambda s: crc32(s.name.encode()))
+        at = int(self.place * len(ring))
+        first = (ring[at:] + ring[:at])[: self.width]
+        return first + [s for s in own if s not in first]
+
     def _draw_rotation(self, now: int) -> None:
-        """The first servers of the node's order: all of them, or with many nodes a part that caps can rule."""
-        many = max(2, -(-COMPANY * len(self.ranked) // self.instances))
+        """All servers of the node's order, or with many nodes the first not at rest, so that caps bind."""
         self.rotation = self.ranked
-        if many < len(self.ranked):
+        if self.width < len(self.ranked):
             awake = (s for s in self.ranked if s.rest_until <= now)
-            self.rotation = list(islice(awake, many)) or self.ranked[:many]
+            self.rotation = list(islice(awake, self.width)) or self.ranked[: self.width]
         self.near = [s for s in self.rotation if s.zone == self.zone]
         self.turn = self.turn % max(1, len(self.rotation))
         self.near_turn = self.near_turn % max(1, len(self.near))
@@ -464,7 +474,7 @@
 
     def _promise_left(self, within: bool, now: int) -> bool:
         """Count an inquiry against the promise to all; whether there is room for one beyond its share."""
-        self.unused = min(1.0, self.unused + (now - self.unused_at) * self.promised)
+        self.unused = min(SHARE_DEPTH, self.unused + (now - self.unused_at) * self.promised)
         self.unused_at = now
         left = self.unused >= 1
         if within or left:
@@ -483,9 +493,13 @@
         self.tokens -= 1
         return wait
 
-    def _spare_room(self) -> bool:
-        """Whether one inquiry beyond its tenant's share is let in: by a chance that grows while all is well."""
-        return not self.held and self._chance() < self.spare
+    def _spare_room(self, promise_left: bool) -> bool:
+        """Whether one inquiry beyond its tenant's share is let in.
+
+        Where looks are taken they find room or hold. Elsewhere it may use what the shares of all leave
+        unused, by a chance that grows while all is well: only failures would tell that it was too much.
+        """
+        return not self.held and (self.looks_pay or (promise_left and self._chance() < self.spare))
 
     def _fell(self) -> None:
         """A send failed: from a rate that admits all down to where it matters, then step by step."""
@@ -694,6 +708,7 @@
         server.strikes += 1
         if len(self.ranked) > len(self.rotation):
             # Another takes its turns until it is back: a narrow rotation must not wait for one that rests.
+            # One that keeps failing loses its place; losing it at once would drive all nodes together.
             self._draw_rotation(now)
         if server.strikes == 3:
             self.host.log(f"resting {server.name}: {why}, fail share {server.fail_share:.2f}")
--- a/coraldeal/benchlink/settings.py
+++ b/coraldeal/benchlink/settings.py
@@ -90,6 +90,7 @@
     asked = top.word("discovery", {"ask": True, "push": False})
     return Settings(
         layer=top.whole("layer"),
+        self_index=top.whole("self_index"),
         instances=max(1, top.whole("instances")),
         tick_us=top.micros("tick_ns"),
         zone=top.text("zone"),
--- a/coraldeal/interface.py
+++ b/coraldeal/interface.py
@@ -105,6 +105,7 @@
 
     layer: int
     instances: int
+    self_index: int
     tick_us: int
     zone: str
     tracks: list[Track]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -16,6 +16,7 @@
 DEFAULTS: dict[str, Any] = {
     "layer": 0,
     "instances": 1,
+    "self_index": 0,
     "tick": "1ms",
     "zone": "z",
     "beyond_share_payoff": 0.05,
@@ -174,6 +175,7 @@
         self.started().client_left(int(name))
 
     def do_after(self, text: str) -> None:
+        self.started()
         end = self.now + micros(text)
         while self.wakes and min(self.wakes)[0] <= end:
             wake = min(self.wakes)
