The part let in beyond shares follows the share of failures, thirty to one

Cause: halved at each failure it was held near a third by half a failure a second at a busy node, and full at an idle one.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -503,13 +503,14 @@
 
     def _fell(self) -> None:
         """A send failed: from a rate that admits all down to where it matters, then step by step."""
-        self.spare /= 2
+        self.spare *= 1 - 30 * self.rise
         if self.host.now - self.started < SECOND:
             # A new node does not know its own arrivals yet; one early failure must not shut the bucket.
             return
         self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * (1 - 8 * self.rise))
 
     def _rose(self) -> None:
+        self.spare = min(1.0, self.spare + self.rise)
         if self.rate < 4 * self.arrival_rate:
             self.rate *= 1 + self.rise
 
@@ -778,7 +779,6 @@
                 state.calm = min(state.calm * 1.002, state.mean)
             state.in_time = IN_TIME * state.calm + self.margin
         self.calm = not self.held and self.pace <= CALM
-        self.spare = self.spare * 0.8 if self.held else min(1.0, self.spare + 0.02)
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
         paces = sorted(server.pace for server in self.rotation)
