Long rests for servers that fail their trial too, without an answer between

A node deep in a large fleet sends a trip in some seconds; a rest of a fifth of a second was over before the next one.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -46,6 +46,8 @@
 # How many times the fleet's median pace marks a server that gives up turns, and one that has fallen behind.
 SLOWER = 1.2
 FAR_BEHIND = 2.0
+# The longest rest.
+REST_MOST = 16 * SECOND
 # The part of the bucket that traffic beyond a share may not use.
 RESERVE = 0.75
 # In the rotations of how many nodes a server should be.
@@ -676,8 +678,8 @@
             self.pace += 0.1 * (latency / state.useful_us - self.pace)
             server.answers += 1
             server.pace += max(0.1, 1 / (server.answers + 2)) * (latency / state.calm - server.pace)
+            server.strikes = 0
             if server.pace <= IN_TIME:
-                server.strikes = 0
                 # A cap rises only where it was used up: otherwise the answer says nothing about it.
                 if trip.filled:
                     server.cap += 1
@@ -705,7 +707,11 @@
 
     def _rest(self, server: Server, now: int, why: str, least: int) -> None:
         """Out of the rotation, for longer each time until it does well again."""
-        server.rest_until = now + (least << min(server.strikes, 3))
+        if server.strikes > 0:
+            # It failed its trial too. A trial costs a trip: where a node sends little, a short rest would be
+            # over before the next one.
+            least = max(least, int(min(10 / max(self.send_rate, 1e-9), REST_MOST)))
+        server.rest_until = now + min(least << min(server.strikes, 3), REST_MOST)
         server.strikes += 1
         if len(self.ranked) > len(self.rotation):
             # Another takes its turns until it is back: a narrow rotation must not wait for one that rests.
