--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -505,14 +505,14 @@
 
     def _fell(self) -> None:
         """A send failed: from a rate that admits all down to where it matters, then step by step."""
-        self.spare *= 1 - 30 * self.rise
+        self.spare *= 1 - 12 * self.rise
         if self.host.now - self.started < SECOND:
             # A new node does not know its own arrivals yet; one early failure must not shut the bucket.
             return
         self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * (1 - 8 * self.rise))
 
     def _rose(self) -> None:
-        self.spare = min(1.0, self.spare + self.rise)
+        self.spare = min(1.0, self.spare + 0.4 * self.rise)
         if self.rate < 4 * self.arrival_rate:
             self.rate *= 1 + self.rise
 
@@ -772,7 +772,7 @@
         self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
         self.metered = self.sent = 0
         # The rate follows within seconds, whether answers are many or few: few of them take larger steps.
-        self.rise = min(0.02, max(0.005, 0.1 / (self.send_rate * SECOND + 1)))
+        self.rise = min(0.05, max(0.005, 0.2 / (self.send_rate * SECOND + 1)))
         # A drop deeper down wastes what the tiers above have done, so the floor there lets the usual traffic
         # pass. At the front it is what the tenants' shares promise.
         self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
