--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -53,7 +53,7 @@
 # In the rotations of how many nodes a server should be.
 COMPANY = 4
 # What a tenant may leave unused of its share at one node and send later, in inquiries, at the least.
-SHARE_DEPTH = 8.0
+SHARE_DEPTH = 4.0
 # Answers that make a mean worth something.
 ENOUGH = 20
 # Looks at servers before one trip, and what they may cost together, as a part of an inquiry's worth.
