A server of a late trip is looked at; where it holds nothing the trip is lost and goes again

A time-out long enough for heavy inquiries leaves no time for a second trip. Where looks are taken, the server of a trip older than nine in ten answers is asked; if it holds nothing, a redoable or labelled trip is withdrawn and goes again.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -236,7 +236,7 @@
         self.slots = 1
         self.inquiries: dict[InquiryId, Inquiry] = {}
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
-        self.looking: dict[ServerId, list[tuple[Inquiry, Server]]] = {}
+        self.looking: dict[ServerId, list[tuple[Inquiry, Server, Trip | None]]] = {}
         self.held: list[tuple[float, int, Inquiry]] = []
         self.last_calls: list[tuple[int, int, Inquiry]] = []
         self.order = 0
@@ -360,6 +360,10 @@
             self._watch_held(now)
         elif token == "list":
             self.host.follow_list()
+        elif token.startswith("late "):
+            trip = self.trips.get((int(token.split()[1]), int(token.split()[2])))
+            if trip is not None and not trip.inquiry.over:
+                self._look(trip.inquiry, trip.server, trip)
         elif token.startswith("token "):
             inquiry = self.inquiries.get(int(token[6:]))
             if inquiry is not None:
@@ -373,7 +377,10 @@
         waiting = self.looking.get(server)
         if not waiting:
             return
-        inquiry, known = waiting.pop(0)
+        inquiry, known, late = waiting.pop(0)
+        if late is not None:
+            self._missed(late, outcome, report)
+            return
         known.looks -= 1
         if outcome is not Outcome.SATISFIED:
             # No process answers there: nothing was lost by asking first.
@@ -575,9 +582,26 @@
             return
         inquiry.looks += 1
         server.looks += 1
-        self.looking.setdefault(server.name, []).append((inquiry, server))
+        self._look(inquiry, server, None)
+
+    def _look(self, inquiry: Inquiry, server: Server, late: Trip | None) -> None:
+        self.looking.setdefault(server.name, []).append((inquiry, server, late))
         self.host.probe(server.name)
 
+    def _missed(self, late: Trip, outcome: Outcome, report: dict[str, float] | None) -> None:
+        """A look at the server of a late trip: where it holds nothing, trip or answer got lost on the way."""
+        inquiry = late.inquiry
+        if inquiry.out is not late or inquiry.over:
+            return
+        holds = report is None or report.get("inflight", report.get("queue", 1.0)) >= 0.5
+        if outcome is Outcome.SATISFIED and holds:
+            self._look_when_late(late)
+        elif inquiry.state.track.effect is not Effect.IRREVERSIBLE and self.may_withdraw:
+            self.host.withdraw(inquiry.name, late.number)
+
+    def _look_when_late(self, trip: Trip) -> None:
+        self.host.wake(f"late {trip.inquiry.name} {trip.number}", int(trip.inquiry.state.slow))
+
     def _learn_slots(self, report: dict[str, float]) -> None:
         """What servers of this tier were seen to work on at once, without a queue."""
         self.slots = max(self.slots, round(report.get("inflight", 0.0) - report.get("queue", 0.0)))
@@ -603,6 +627,8 @@
         if server.warm_at > now:
             server.cold_tokens -= 1
         self.host.send(inquiry.name, server.name, timeout)
+        if self.looks_pay:
+            self._look_when_late(trip)
 
     def _hold(self, inquiry: Inquiry, now: int) -> None:
         """Hold by worth, then in order of arrival."""
