--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -803,7 +803,7 @@
         # pass. At the front it is what the tenants' shares promise.
         self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
         if self.front:
-            self.floor = max(self.arrival_rate * 0.1, min(self.promised, self.arrival_rate), 1 / SECOND)
+            self.floor = max(self.arrival_rate * 0.1, min(self.promised, self.arrival_rate) / 2, 1 / SECOND / self.instances)
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
