--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -212,8 +212,10 @@
         self.zone = settings.zone
         can_look = settings.may_probe and not {"inflight", "queue"}.isdisjoint(settings.report_fields)
         self.looks_pay = can_look and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
-        self.list_wait_most = max(SECOND, settings.ask_every_us // 5)
-        self.list_wait = SECOND // 4
+        # The list's service can take one call of every node in some seconds, however many they are: first calls
+        # are spread over most of the time in which the rules want one.
+        self.list_wait_most = settings.ask_every_us * 4 // 5
+        self.list_wait_least = self.list_wait = settings.ask_every_us // 10
         self.beyond = settings.beyond_share_payoff
         self.share_rate = {t.name: t.quota_per_s / settings.instances / SECOND for t in settings.tenants}
         self.promised = sum(self.share_rate.values())
@@ -409,7 +411,7 @@
         """The list, or changes of it, as told. A server that drains or is gone leaves at once."""
         now = self.host.now
         if kind is not ListKind.REMEMBERED:
-            self.list_wait = SECOND // 4
+            self.list_wait = self.list_wait_least
         told: dict[ServerId, Server] = {} if kind is not ListKind.CHANGES else dict(self.servers)
         mean_cap = round(sum(s.cap for s in self.rotation) / len(self.rotation)) if self.rotation else 2
         for entry in entries:
