--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -138,7 +138,7 @@
         self.credit = 1.0
         self.born = entry.born_us
         self.warm_at = entry.born_us + warm_after if entry.born_us else 0
-        self.cold_tokens = 1.0
+        self.cold_tokens = 0.0
         self.cold_at = now
         # Looks under way, and how many inquiries the last one found in it.
         self.looks = 0
@@ -422,6 +422,8 @@
             if known is None or known.born < entry.born_us:
                 # A restart under the same id is a new, cold server.
                 known = Server(entry, mean_cap, self.warm_after, now)
+                # A whole trip from each node at once could push a cold server over: by chance, half of one.
+                known.cold_tokens = self._chance()
             told[entry.server] = known
         self.servers = told
         self.ranked = self._ranked(list(told.values()))
