Settings that decide nothing are gone; one test of a label's window; module head

may_duplicate, a tenant's fraction, an entry's heft and reports_in_answers were read and checked but decided nothing. The window of a label is tested with the margin wherever it is tested.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -11,10 +11,12 @@
 1. rest: a server that does badly at a cap of one, worse than the fleet's median, or whose oldest trip is
    overdue, is passed over for a while;
 2. credit: a further trip goes only to a server whose answers earned it; trip time-outs come from answers;
-3. shares: what a tenant sends beyond its share is worth less, comes last, leaves others most of the bucket;
+3. shares: what a tenant sends beyond its share is worth less, comes last and gets what the shares leave;
 4. cold budget: a server that has just started gets trips at a rate within the rule;
-5. own zone first: while all goes well, the rotation begins with the servers of the node's own zone;
-6. look: where probes cost next to nothing, a server is asked for its load before a trip is sent to it.
+5. part of the tier: with many nodes each rotates over a few servers, so that caps bind; while all goes well
+   the servers of the node's own zone come first;
+6. look: where probes cost next to nothing, a server is asked for its load before a trip is sent to it, and
+   again when the trip is late.
 """
 
 from __future__ import annotations
@@ -212,8 +214,8 @@
         self.zone = settings.zone
         can_look = settings.may_probe and not {"inflight", "queue"}.isdisjoint(settings.report_fields)
         self.looks_pay = can_look and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
-        # The list's service can take one call of every node in some seconds, however many they are: first calls
-        # are spread over most of the time in which the rules want one.
+        # The list's service can take one call of every node in some seconds, however many they are: first
+        # calls are spread over most of the time in which the rules want one.
         self.list_wait_most = settings.ask_every_us * 4 // 5
         self.list_wait_least = self.list_wait = settings.ask_every_us // 10
         self.beyond = settings.beyond_share_payoff
@@ -756,17 +758,18 @@
             return False
         if inquiry.ran_on is None or inquiry.state.track.effect is Effect.REDOABLE:
             return True
-        return (
-            inquiry.state.track.effect is Effect.LABELLED
-            and now < inquiry.ran_at + inquiry.state.track.window_us
-        )
+        return inquiry.state.track.effect is Effect.LABELLED and self._in_window(inquiry, now)
+
+    def _in_window(self, inquiry: Inquiry, now: int) -> bool:
+        """Whether the group that got a labelled inquiry surely remembers it when another trip arrives."""
+        return now < inquiry.ran_at + inquiry.state.track.window_us - self.margin
 
     def _in_group(self, inquiry: Inquiry, server: Server) -> bool:
         """Whether a further trip to this server keeps the rule on effects."""
         first, track = inquiry.ran_on, inquiry.state.track
         if first is None or track.effect is Effect.REDOABLE:
             return True
-        if self.host.now >= inquiry.ran_at + track.window_us - self.margin:
+        if not self._in_window(inquiry, self.host.now):
             return False
         if track.group is Group.CELL:
             return server.cell == first.cell
@@ -804,10 +807,12 @@
         # The rate follows within seconds, whether answers are many or few: few of them take larger steps.
         self.rise = min(0.05, max(0.005, 0.2 / (self.send_rate * SECOND + 1)))
         # A drop deeper down wastes what the tiers above have done, so the floor there lets the usual traffic
-        # pass. At the front it is what the tenants' shares promise.
+        # pass. At the front it is half of what the tenants' shares promise: where servers choke or a hall is
+        # lost there may be no more.
         self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
         if self.front:
-            self.floor = max(self.arrival_rate * 0.1, min(self.promised, self.arrival_rate) / 2, 1 / SECOND / self.instances)
+            promise = min(self.promised, self.arrival_rate) / 2
+            self.floor = max(self.arrival_rate * 0.1, promise, 1 / SECOND / self.instances)
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
--- a/coraldeal/benchlink/link.py
+++ b/coraldeal/benchlink/link.py
@@ -169,7 +169,8 @@
             if row[4] not in CONDITIONS:
                 raise WireError(f"unknown condition {row[4][:40]!r}")
             born = 0 if row[6] == "-" else int(row[6]) // 1000
-            entries.append(Entry(row[0], row[1], int(row[3]), CONDITIONS[row[4]], float(row[5]), born))
+            float(row[5])  # the weight decides nothing; it is read so that a bad one is named
+            entries.append(Entry(row[0], row[1], int(row[3]), CONDITIONS[row[4]], born))
         self.sheets[sheet] = entries
 
     def backends_changed(self, rest: str) -> None:
--- a/coraldeal/benchlink/settings.py
+++ b/coraldeal/benchlink/settings.py
@@ -77,7 +77,7 @@
 
 
 def _tenant(reader: _Reader) -> Tenant:
-    return Tenant(reader.text("name"), reader.number("fraction"), reader.number("quota_per_s"))
+    return Tenant(reader.text("name"), reader.number("quota_per_s"))
 
 
 def read_settings(text: str) -> Settings:
@@ -100,7 +100,6 @@
         list_is_asked=asked,
         ask_every_us=rules.micros("ask_every_ns") if asked else 0,
         max_trips=bounds.whole("max_trips"),
-        may_duplicate=bounds.flag("may_duplicate"),
         may_withdraw=bounds.flag("cancel"),
         may_probe=bounds.flag("probing"),
         probe_price=top.part("tariffs").number("probe"),
@@ -111,5 +110,4 @@
         fall_multiple=rules.number("fall_multiple"),
         fall_us=rules.micros("fall_ns"),
         report_fields=[str(name) for name in reporting.values.get("fields") or []],
-        reports_in_answers=reporting.word("how", {"inline": True, "on_probe": False, "off": False}),
     )
--- a/coraldeal/interface.py
+++ b/coraldeal/interface.py
@@ -83,7 +83,6 @@
     """One customer and its share of the service."""
 
     name: str
-    fraction: float
     quota_per_s: float
 
 
@@ -95,7 +94,6 @@
     zone: str
     cell: int
     condition: Condition
-    heft: float
     born_us: int
 
 
@@ -114,7 +112,6 @@
     list_is_asked: bool
     ask_every_us: int
     max_trips: int
-    may_duplicate: bool
     may_withdraw: bool
     may_probe: bool
     probe_price: float
@@ -125,7 +122,6 @@
     fall_multiple: float
     fall_us: int
     report_fields: list[str] = field(default_factory=list)
-    reports_in_answers: bool = False
 
 
 class Host(Protocol):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -23,7 +23,6 @@
     "list_is_asked": False,
     "ask_every": "10s",
     "max_trips": 3,
-    "may_duplicate": False,
     "may_withdraw": True,
     "may_probe": True,
     "may_advise_pause": True,
@@ -127,11 +126,11 @@
         )
 
     def do_tenant(self, name: str, **o: str) -> None:
-        self.tenants.append(Tenant(name, float(o["fraction"]), float(o["quota"])))
+        self.tenants.append(Tenant(name, float(o["quota"])))
 
     def entry(self, name: str, condition: str, o: dict[str, str]) -> Entry:
         born = self.now - micros(o["age"]) if "age" in o else 0
-        return Entry(name, o.get("zone", "z"), int(o.get("cell", "1")), Condition(condition), 1.0, born)
+        return Entry(name, o.get("zone", "z"), int(o.get("cell", "1")), Condition(condition), born)
 
     def do_servers(self, *names: str, **o: str) -> None:
         self.entries += [self.entry(name, "ready", o) for name in names]
