--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -303,7 +303,7 @@
             # Beyond a share nothing waits behind others: it would mostly be turned away in the end.
             wait = self._take_token(within, now) if within or self._spare_room(promise_left) else -1
             if wait < 0:
-                self._conclude(inquiry, int(state.median))
+                self._conclude(inquiry, int(state.median * self._chance()))
                 return
             if wait > 0:
                 self.host.wake(f"token {name}", wait)
