--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -69,7 +69,6 @@
     __slots__ = (
         "answers",
         "calm",
-        "in_time",
         "mean",
         "median",
         "slow",
@@ -86,9 +85,8 @@
         self.mean = self.median
         self.answers = 0
         self.slow = self.useful_us / 3
-        # The mean when all is well, and what counts as in time.
+        # The mean when all is well.
         self.calm = self.useful_us / 6
-        self.in_time = IN_TIME * self.calm
         self.usual_left = 0
 
     def learn(self, latency: int, answered: bool) -> None:
@@ -796,7 +794,7 @@
     # What goes on in the background.
 
     def _sweep(self, now: int) -> None:
-        """Four times a second: rates, the bucket's size, what counts as in time, the fleet's median."""
+        """Four times a second: rates, the bucket's size, the calm means, the fleet's medians."""
         self.host.wake("sweep", SWEEP)
         if len(self.rotation) < len(self.ranked):
             self._draw_rotation(now)
@@ -818,7 +816,6 @@
         for state in self.tracks.values():
             if state.answers >= ENOUGH:
                 state.calm = min(state.calm * 1.002, state.mean)
-            state.in_time = IN_TIME * state.calm + self.margin
         self.calm = not self.held and self.pace <= CALM
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
