--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -122,7 +122,7 @@
         "zone",
     )
 
-    def __init__(self, entry: Entry, cap: int, warm_after: int, now: int) -> None:
+    def __init__(self, entry: Entry, cap: int, cold_tokens: float, warm_after: int, now: int) -> None:
         self.name = entry.server
         self.zone = entry.zone
         self.cell = entry.cell
@@ -138,7 +138,7 @@
         self.credit = 1.0
         self.born = entry.born_us
         self.warm_at = entry.born_us + warm_after if entry.born_us else 0
-        self.cold_tokens = 0.0
+        self.cold_tokens = cold_tokens
         self.cold_at = now
         # Looks under way, and how many inquiries the last one found in it.
         self.looks = 0
@@ -212,6 +212,9 @@
         self.zone = settings.zone
         can_look = settings.may_probe and not {"inflight", "queue"}.isdisjoint(settings.report_fields)
         self.looks_pay = can_look and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
+        self.instances = settings.instances
+        # Steps of the golden section fall evenly, however nodes are numbered over zones.
+        self.place = settings.self_index * 0.6180339887 % 1.0
         # The list's service can take one call of every node in some seconds, however many they are: first
         # calls are spread over most of the time in which the rules want one.
         self.list_wait_most = settings.ask_every_us * 4 // 5
@@ -225,10 +228,7 @@
         self.fall_us = settings.fall_us
         # State of the instance.
         self.servers: dict[ServerId, Server] = {}
-        self.instances = settings.instances
         self.width = 2
-        # Steps of the golden section fall evenly, however nodes are numbered over zones.
-        self.place = settings.self_index * 0.6180339887 % 1.0
         self.ranked: list[Server] = []
         self.rotation: list[Server] = []
         self.near: list[Server] = []
@@ -363,7 +363,8 @@
         elif token == "list":
             self.host.follow_list()
         elif token.startswith("late "):
-            trip = self.trips.get((int(token.split()[1]), int(token.split()[2])))
+            _, name, number = token.split()
+            trip = self.trips.get((int(name), int(number)))
             if trip is not None and not trip.inquiry.over:
                 self._look(trip.inquiry, trip.server, trip)
         elif token.startswith("token "):
@@ -420,10 +421,9 @@
                 continue
             known = self.servers.get(entry.server)
             if known is None or known.born < entry.born_us:
-                # A restart under the same id is a new, cold server.
-                known = Server(entry, mean_cap, self.warm_after, now)
-                # A whole trip from each node at once could push a cold server over: by chance, half of one.
-                known.cold_tokens = self._chance()
+                # A restart under the same id is a new, cold server. A whole trip from each node at once could
+                # push it over: by chance, half of one.
+                known = Server(entry, mean_cap, self._chance(), self.warm_after, now)
             told[entry.server] = known
         self.servers = told
         self.ranked = self._ranked(list(told.values()))
@@ -474,16 +474,12 @@
         rate = self.share_rate.get(tenant)
         if rate is None or not self.front:
             return True
-        return self._take_share(tenant, rate, now)
-
-    def _take_share(self, name: str, rate: float, now: int) -> bool:
-        """Take one from what a tenant's share has left at this node."""
-        tokens, since = self.share_tokens[name]
+        tokens, since = self.share_tokens[tenant]
         # Deep enough that the noise of a trickle is no surge; a tenant beyond its share never fills it.
         tokens = min(max(SHARE_DEPTH, rate * SECOND), tokens + (now - since) * rate)
-        left = tokens >= 1
-        self.share_tokens[name] = (tokens - 1 if left else tokens, now)
-        return left
+        within = tokens >= 1
+        self.share_tokens[tenant] = (tokens - 1 if within else tokens, now)
+        return within
 
     def _promise_left(self, within: bool, now: int) -> bool:
         """Count an inquiry against the promise to all; whether there is room for one beyond its share."""
@@ -515,7 +511,11 @@
         return not self.held and (self.looks_pay or (promise_left and self._chance() < self.spare))
 
     def _fell(self) -> None:
-        """A send failed: from a rate that admits all down to where it matters, then step by step."""
+        """A send failed: from a rate that admits all down to where it matters, then step by step.
+
+        Eight steps down for one up let the rate settle at a ninth of sends failed. The part beyond shares
+        must be surer: thirty to one, in smaller steps.
+        """
         self.spare *= 1 - 12 * self.rise
         if self.host.now - self.started < SECOND:
             # A new node does not know its own arrivals yet; one early failure must not shut the bucket.
@@ -523,6 +523,7 @@
         self.rate = max(self.floor, min(self.rate, 2 * self.arrival_rate) * (1 - 8 * self.rise))
 
     def _rose(self) -> None:
+        """A send was served: a step up."""
         self.spare = min(1.0, self.spare + 0.4 * self.rise)
         if self.rate < 4 * self.arrival_rate:
             self.rate *= 1 + self.rise
@@ -744,8 +745,8 @@
         server.rest_until = now + min(least << min(server.strikes, 3), REST_MOST)
         server.strikes += 1
         if len(self.ranked) > len(self.rotation):
-            # Another takes its turns until it is back: a narrow rotation must not wait for one that rests.
-            # One that keeps failing loses its place; losing it at once would drive all nodes together.
+            # Another takes its turns until it is back: a narrow rotation must not wait for one at rest, and
+            # one that lost its place for good would drive all nodes to the few that have not failed yet.
             self._draw_rotation(now)
         if server.strikes == 3:
             self.host.log(f"resting {server.name}: {why}, fail share {server.fail_share:.2f}")
