--- /dev/null
+++ b/coraldeal/__main__.py
@@ -0,0 +1,80 @@
+"""Command line: `python -m coraldeal serve` is one node."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import sys
+
+from coraldeal import __version__
+from coraldeal.config import NodeConfig, SettingsError, read_node_config
+from coraldeal.logs import set_up
+
+
+def _read(args: argparse.Namespace) -> NodeConfig:
+    if not args.config:
+        raise SettingsError("no configuration: give --config FILE or set PROXY_CONFIG")
+    return read_node_config(args.config, os.environ)
+
+
+def serve(args: argparse.Namespace) -> int:
+    """Run one node until SIGTERM."""
+    from coraldeal.net.node import Node
+
+    set_up(args.log_level)
+    config = _read(args)
+
+    async def run() -> None:
+        await Node(config).run()
+
+    asyncio.run(run())
+    return 0
+
+
+def check(args: argparse.Namespace) -> int:
+    """Read the configuration and say what was understood."""
+    config = _read(args)
+    settings = config.settings
+    print(
+        f"{config.name}: listens on {config.host}:{config.port}, tier {settings.layer}, "
+        f"node {settings.self_index + 1} of {settings.instances}, "
+        f"tracks {', '.join(track.name for track in settings.tracks)}, "
+        f"discovery {config.discovery or 'none'}, {config.sockets} descriptors"
+    )
+    return 0
+
+
+def version(args: argparse.Namespace) -> int:
+    print(f"coraldeal {__version__}")
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    about = "A load balancer for services that call services."
+    parser = argparse.ArgumentParser("coraldeal", description=about)
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name, function, text in (
+        ("serve", serve, "run one node until SIGTERM"),
+        ("check", check, "read a configuration and say what it means"),
+        ("version", version, "print the version"),
+    ):
+        command = commands.add_parser(name, help=text)
+        command.set_defaults(function=function)
+        if function is not version:
+            command.add_argument(
+                "--config", default=os.environ.get("PROXY_CONFIG"), help="JSON file (default: $PROXY_CONFIG)"
+            )
+        if function is serve:
+            levels = ("debug", "info", "warning", "error")
+            command.add_argument("--log-level", choices=levels, default="info", help="default: info")
+    args = parser.parse_args(argv)
+    try:
+        return int(args.function(args))
+    except (SettingsError, OSError) as error:
+        print(f"coraldeal: {error}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/coraldeal/benchlink/link.py
+++ b/coraldeal/benchlink/link.py
@@ -10,7 +10,7 @@
 from typing import BinaryIO, TextIO
 
 from coraldeal.balance import Balancer
-from coraldeal.benchlink.settings import SettingsError, read_settings
+from coraldeal.config import SettingsError, read_settings
 from coraldeal.interface import Condition, Entry, ListKind, Outcome
 
 OUTCOMES = {
--- a/coraldeal/benchlink/settings.py
+++ b/coraldeal/config.py
@@ -1,8 +1,16 @@
-"""Settings as the wire sends them, turned into the types of coraldeal.interface."""
+"""The one place where configuration is read, checked and given defaults; messages name the faulty key.
+
+`read_settings` turns what the operators state of a deployment into the types of coraldeal.interface;
+`read_node_config` reads all that a real node is told.
+"""
 
 from __future__ import annotations
 
 import json
+import os
+import resource
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from coraldeal.interface import Effect, Group, Settings, Tenant, Track
@@ -24,6 +32,9 @@
             raise SettingsError(f"{path.rstrip('.') or 'settings'} is not an object")
         self.values = values
 
+    def has(self, key: str) -> bool:
+        return self.values.get(key) is not None
+
     def _get(self, key: str, kinds: tuple[type, ...], what: str) -> Any:
         if key not in self.values:
             raise SettingsError(f"setting {self.path}{key} is missing")
@@ -80,12 +91,19 @@
     return Tenant(reader.text("name"), reader.number("quota_per_s"))
 
 
-def read_settings(text: str) -> Settings:
-    """Settings from the JSON text of a `boot` line; unknown keys are passed over."""
+def _parsed(text: str, what: str) -> Any:
     try:
-        top = _Reader(json.loads(text))
+        return json.loads(text)
     except ValueError as error:
-        raise SettingsError(f"settings are not JSON: {error}") from None
+        raise SettingsError(f"{what} are not JSON: {error}") from None
+
+
+def read_settings(text: str) -> Settings:
+    """Settings from the JSON text of a `boot` line; unknown keys are passed over."""
+    return _settings(_Reader(_parsed(text, "settings")))
+
+
+def _settings(top: _Reader) -> Settings:
     bounds, rules, reporting = top.part("bounds"), top.part("rules"), top.part("reporting")
     asked = top.word("discovery", {"ask": True, "push": False})
     return Settings(
@@ -111,3 +129,71 @@
         fall_us=rules.micros("fall_ns"),
         report_fields=[str(name) for name in reporting.values.get("fields") or []],
     )
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """All that a real node is told. Times are in whole microseconds."""
+
+    name: str
+    host: str
+    port: int
+    # None: there is no discovery, the known list stands for good.
+    discovery: str | None
+    seed: int
+    sockets: int
+    # The list of servers as this node last had it, in discovery's form.
+    known: Any
+    conn_idle_us: int
+    connect_timeout_us: int
+    settings: Settings
+
+
+def _address(text: str, key: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise SettingsError(f"setting {key} is not of the form address:port: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def _seed(top: _Reader) -> int:
+    if not top.has("seed"):
+        return int.from_bytes(os.urandom(8), "big")
+    text = top.text("seed")
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise SettingsError(f"setting seed is not a number in hexadecimal: {text!r}") from None
+
+
+def read_node_config(path: str, env: Mapping[str, str]) -> NodeConfig:
+    """The configuration file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY overrule it where they are set."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            values = _parsed(file.read(), "the contents")
+    except (OSError, UnicodeDecodeError, SettingsError) as error:
+        raise SettingsError(f"configuration {path}: {error}") from None
+    if isinstance(values, dict):
+        told = {key: env.get(f"PROXY_{key.upper()}") for key in ("name", "listen", "discovery")}
+        values.update({key: value for key, value in told.items() if value})
+    top = _Reader(values)
+    host, port = _address(top.text("listen"), "listen")
+    if top.has("discovery"):
+        _address(top.text("discovery"), "discovery")
+    settings = top.part("settings")
+    bounds = settings.part("bounds")
+    sockets = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if top.has("limits") and top.part("limits").has("sockets"):
+        sockets = min(sockets, top.part("limits").whole("sockets"))
+    return NodeConfig(
+        name=top.text("name") if top.has("name") else "node",
+        host=host,
+        port=port,
+        discovery=top.text("discovery") if top.has("discovery") else None,
+        seed=_seed(top),
+        sockets=sockets,
+        known=top.part("known").values if top.has("known") else None,
+        conn_idle_us=bounds.micros("conn_idle_ns"),
+        connect_timeout_us=bounds.micros("connect_timeout_ns"),
+        settings=_settings(settings),
+    )
--- a/coraldeal/interface.py
+++ b/coraldeal/interface.py
@@ -127,7 +127,8 @@
 class Host(Protocol):
     """All that the decisions may do to the world outside. `now` is the clock, in microseconds."""
 
-    now: int
+    @property
+    def now(self) -> int: ...
 
     def send(self, inquiry: InquiryId, server: ServerId, timeout_us: int) -> None:
         """Start the next trip of an inquiry."""
--- /dev/null
+++ b/coraldeal/logs.py
@@ -0,0 +1,37 @@
+"""Log lines as key=value pairs, such as `time=... level=info name=coraldeal.net.node event="watch over"`."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from typing import Any
+
+
+def _quoted(value: object) -> str:
+    text = str(value).replace("\n", "\\n")
+    return '"' + text.replace('"', "'") + '"' if not text or " " in text or "=" in text else text
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Formats a record and whatever pairs it carries in `extra={"pairs": {...}}`."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        pairs: dict[str, Any] = {
+            "time": f"{stamp}.{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "name": record.name,
+            "event": record.getMessage(),
+            **getattr(record, "pairs", {}),
+        }
+        if record.exc_info:
+            pairs["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
+
+
+def set_up(level: str) -> None:
+    """Log to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(KeyValueFormatter())
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- /dev/null
+++ b/coraldeal/net/callers.py
@@ -0,0 +1,139 @@
+"""The listener: callers' connections, their requests and the answers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+from multidict import CIMultiDict
+
+from coraldeal.net.wire import READY_PATH, Answer, BadCall, Call, read_call
+
+log = logging.getLogger(__name__)
+
+BODY_MOST = 64 * 1024
+# Connections taken in one turn of the loop, so that the reserve of descriptors covers a rush, and how many
+# the system holds ready meanwhile.
+ACCEPT_AT_ONCE = 32
+BACKLOG = 1024
+
+
+class _Server(web.Server):
+    """aiohttp's low-level server, telling of each new connection."""
+
+    def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]) -> None:
+        super().__init__(
+            handler,
+            request_factory=self._request,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            lingering_time=0.5,
+        )
+        self.on_connection: Callable[[], None] = lambda: None
+
+    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
+        super().connection_made(handler, transport)
+        self.on_connection()
+
+    def _request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, self._loop, client_max_size=BODY_MOST
+        )
+
+
+class Callers:
+    """Everything that callers see of a node."""
+
+    def __init__(
+        self,
+        tracks: dict[str, int],
+        live: Callable[[Call, int], Awaitable[Answer]],
+        is_ready: Callable[[], bool],
+        is_crowded: Callable[[], bool],
+    ) -> None:
+        # The patience of each track.
+        self.tracks = tracks
+        self.live = live
+        self.is_ready = is_ready
+        self.is_crowded = is_crowded
+        # Set when the node is to stop: each answer then closes its connection.
+        self.closing = False
+        self.server = _Server(self._answer)
+        self.listener: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int, on_connection: Callable[[], None]) -> None:
+        self.server.on_connection = on_connection
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.socket(family, socket.SOCK_STREAM)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((host, port))
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(self.server, sock=listening, backlog=ACCEPT_AT_ONCE)
+        listening.listen(BACKLOG)
+
+    def stop_listening(self) -> None:
+        """No new connections; those between requests are closed, the rest after their answer."""
+        if self.listener is not None:
+            self.listener.close()
+        for connection in self.server.connections:
+            if not _is_busy(connection):
+                connection.close()
+
+    async def close(self) -> None:
+        await self.server.shutdown(0.05)
+
+    @property
+    def held(self) -> int:
+        return len(self.server.connections)
+
+    def close_one_idle(self) -> bool:
+        """Give up the first connection found between two requests."""
+        for connection in self.server.connections:
+            if connection._request_count and not _is_busy(connection):
+                connection.close()
+                return True
+        return False
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        """From a request's first byte to the last of its answer."""
+        if request.path == READY_PATH:
+            return self._response(Answer(200 if self.is_ready() else 503))
+        if self.is_crowded():
+            # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
+            return self._response(Answer(503), close=True)
+        try:
+            body = await request.read()
+            raw = request.raw_headers
+            call = read_call(request.method, request.raw_path, request.headers, raw, body, self.tracks)
+        except web.HTTPRequestEntityTooLarge:
+            return self._response(Answer(413), close=True)
+        except BadCall as bad:
+            return self._response(Answer(bad.status, f"{bad}\n".encode()))
+        patience = self.tracks[call.track]
+        return self._response(await self.live(call, patience if call.left_us is None else call.left_us))
+
+    def _response(self, answer: Answer, close: bool = False) -> web.Response:
+        response = web.Response(status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers))
+        if close or self.closing:
+            response.force_close()
+        return response
+
+
+def _is_busy(connection: RequestHandler) -> bool:
+    """Whether a request is being answered on this connection or waits there."""
+    return connection._request_in_progress or bool(connection._messages)
--- /dev/null
+++ b/coraldeal/net/host.py
@@ -0,0 +1,87 @@
+"""The module's `Host` on the event loop.
+
+Nothing that an act causes comes back to the module inside its own call: each act leaves a choice with an
+inquiry's task, starts a task, or sets a timer, and all of these run from the loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+from coraldeal.balance import Balancer
+from coraldeal.interface import InquiryId, ServerId
+from coraldeal.net.discovery import Discovery
+from coraldeal.net.inquiry import Inquiries, Send
+from coraldeal.net.servers import Servers
+from coraldeal.net.wire import Answer, TripEnd, deferral, failure
+
+log = logging.getLogger("coraldeal.balance")
+
+
+def clock() -> int:
+    """The node's one clock: monotonic, in whole microseconds."""
+    return time.monotonic_ns() // 1000
+
+
+class LoopHost:
+    """Carries out what the decisions ask for."""
+
+    def __init__(self, inquiries: Inquiries, servers: Servers, with_reports: bool) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.inquiries = inquiries
+        self.servers = servers
+        self.with_reports = with_reports
+        self.discovery: Discovery | None = None
+        self.balancer: Balancer | None = None
+        # Probes under way; the loop itself holds tasks only weakly.
+        self.probes: dict[asyncio.Task[TripEnd], ServerId] = {}
+
+    @property
+    def now(self) -> int:
+        return clock()
+
+    def send(self, inquiry: InquiryId, server: ServerId, timeout_us: int) -> None:
+        self._choose(inquiry, Send(server, timeout_us))
+
+    def defer(self, inquiry: InquiryId, pause_us: int) -> None:
+        self._choose(inquiry, deferral(pause_us))
+
+    def give_up(self, inquiry: InquiryId) -> None:
+        self._choose(inquiry, failure())
+
+    def withdraw(self, inquiry: InquiryId, trip: int) -> None:
+        known = self.inquiries.in_hand.get(inquiry)
+        if known is not None:
+            known.withdraw(trip)
+
+    def probe(self, server: ServerId) -> None:
+        task = self.loop.create_task(self.servers.probe(server, self.with_reports))
+        self.probes[task] = server
+        task.add_done_callback(self._probed)
+
+    def wake(self, token: str, after_us: int) -> None:
+        self.loop.call_later(after_us / 1e6, self._alarm, token)
+
+    def follow_list(self) -> None:
+        if self.discovery is not None:
+            self.discovery.follow()
+
+    def log(self, text: str) -> None:
+        log.info(text)
+
+    def _choose(self, inquiry: InquiryId, choice: Send | Answer) -> None:
+        known = self.inquiries.in_hand.get(inquiry)
+        if known is not None:
+            known.choose(choice)
+
+    def _alarm(self, token: str) -> None:
+        assert self.balancer is not None
+        self.balancer.alarm(token)
+
+    def _probed(self, task: asyncio.Task[TripEnd]) -> None:
+        server = self.probes.pop(task)
+        if not task.cancelled() and self.balancer is not None:
+            end = task.result()
+            self.balancer.probe_ended(server, end.outcome, end.latency_us, end.report)
--- /dev/null
+++ b/coraldeal/net/inquiry.py
@@ -0,0 +1,126 @@
+"""An inquiry's life, from a caller's request to the one answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import NamedTuple
+
+from coraldeal.balance import Balancer
+from coraldeal.interface import InquiryId, Outcome, ServerId
+from coraldeal.net.servers import Servers
+from coraldeal.net.wire import Answer, Call, TripEnd, failure
+
+log = logging.getLogger(__name__)
+
+
+class Send(NamedTuple):
+    """The module's choice of a further trip."""
+
+    server: ServerId
+    timeout_us: int
+
+
+class Inquiry:
+    """What is kept of one inquiry while it lasts."""
+
+    __slots__ = ("choice", "name", "trip", "trip_number", "withdrawn")
+
+    def __init__(self, name: InquiryId, loop: asyncio.AbstractEventLoop) -> None:
+        self.name = name
+        self.choice: asyncio.Future[Send | Answer] = loop.create_future()
+        self.trip_number = 0
+        # The trip under way, and whether it is to be stopped.
+        self.trip: asyncio.Task[TripEnd] | None = None
+        self.withdrawn = False
+
+    def choose(self, choice: Send | Answer) -> None:
+        """The module has chosen; the inquiry's task goes on from the loop."""
+        if not self.choice.done():
+            self.choice.set_result(choice)
+
+    def withdraw(self, trip: int) -> None:
+        """Stop waiting for the trip under way, or not yet begun; its end is told from the loop."""
+        if self.trip is None:
+            self.withdrawn = trip == self.trip_number
+        elif trip == self.trip_number:
+            self.trip.get_loop().call_soon(self.trip.cancel)
+
+
+class Inquiries:
+    """All inquiries in hand."""
+
+    def __init__(self, servers: Servers) -> None:
+        self.servers = servers
+        self.in_hand: dict[InquiryId, Inquiry] = {}
+        self.next_name = 0
+        self.balancer: Balancer | None = None
+
+    async def live(self, call: Call, left_us: int) -> Answer:
+        """One inquiry, from its arrival to its final answer. The task is cancelled when the client leaves."""
+        balancer = self.balancer
+        assert balancer is not None
+        loop = asyncio.get_running_loop()
+        name = self.next_name
+        self.next_name += 1
+        inquiry = self.in_hand[name] = Inquiry(name, loop)
+        try:
+            # The module answers before the patience ends; the time-out guards against a day when it does not.
+            async with asyncio.timeout(left_us / 1e6):
+                balancer.inquiry_arrived(name, call.track, call.tenant, left_us, call.repeat)
+                while True:
+                    choice = await inquiry.choice
+                    if isinstance(choice, Answer):
+                        return choice
+                    if inquiry.withdrawn:
+                        end = TripEnd(Outcome.MOOT, 0)
+                    else:
+                        message = call.written(choice.timeout_us)
+                        trip = self.servers.trip(choice.server, message, choice.timeout_us)
+                        inquiry.trip = loop.create_task(trip)
+                        # Shielded: a trip outlives its inquiry where the deployment allows no withdrawals.
+                        end = await asyncio.shield(inquiry.trip)
+                    inquiry.trip = None
+                    inquiry.choice = loop.create_future()
+                    self._trip_ended(inquiry, end, over=end.outcome is Outcome.SATISFIED)
+                    if end.outcome is Outcome.SATISFIED and end.answer is not None:
+                        return end.answer
+        except TimeoutError:
+            log.warning("patience over unanswered", extra={"pairs": {"inquiry": name, "track": call.track}})
+            self._left(inquiry)
+            return failure(504)
+        except asyncio.CancelledError:
+            self._left(inquiry)
+            raise
+        except Exception:
+            # A bug must not cost the other inquiries, nor this one its answer.
+            log.exception("inquiry failed", extra={"pairs": {"inquiry": name, "track": call.track}})
+            self._left(inquiry)
+            return failure(500)
+        finally:
+            if inquiry.trip is None:
+                self.in_hand.pop(name, None)
+
+    def _trip_ended(self, inquiry: Inquiry, end: TripEnd, over: bool) -> None:
+        assert self.balancer is not None
+        number = inquiry.trip_number
+        inquiry.trip_number += 1
+        inquiry.withdrawn = False
+        self.balancer.trip_ended(inquiry.name, number, end.outcome, end.latency_us, over, end.report)
+
+    def _left(self, inquiry: Inquiry) -> None:
+        """The client is gone: tell the module, and the end of a trip that is still out when it comes."""
+        assert self.balancer is not None
+        self.balancer.client_left(inquiry.name)
+        choice = inquiry.choice
+        if inquiry.trip is not None:
+            inquiry.trip.add_done_callback(lambda trip: self._late_end(inquiry, trip))
+        elif choice.done() and not choice.cancelled() and isinstance(choice.result(), Send):
+            # Chosen but never begun.
+            self._trip_ended(inquiry, TripEnd(Outcome.MOOT, 0), over=True)
+
+    def _late_end(self, inquiry: Inquiry, trip: asyncio.Task[TripEnd]) -> None:
+        self.in_hand.pop(inquiry.name, None)
+        # A trip that failed by a bug was logged with its inquiry; its server's place must be free again.
+        broken = trip.cancelled() or trip.exception() is not None
+        self._trip_ended(inquiry, TripEnd(Outcome.RESET, 0) if broken else trip.result(), over=True)
--- /dev/null
+++ b/coraldeal/net/node.py
@@ -0,0 +1,140 @@
+"""One node and its phases: starting, ready, draining, ended."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import gc
+import logging
+import signal
+import time
+from functools import partial
+from zlib import crc32
+
+from coraldeal.balance import Balancer
+from coraldeal.config import NodeConfig
+from coraldeal.interface import ListKind
+from coraldeal.net.callers import Callers
+from coraldeal.net.discovery import Discovery
+from coraldeal.net.host import LoopHost, clock
+from coraldeal.net.inquiry import Inquiries
+from coraldeal.net.servers import Servers
+from coraldeal.net.wire import ServerList, read_list
+
+log = logging.getLogger(__name__)
+
+# Descriptors kept for discovery, probes, logs and a rush of callers.
+RESERVE = 96
+# For how long after SIGTERM new connections may still come.
+STILL_ACCEPTING = 0.55
+# How much longer than the longest patience the end may take.
+END_SLACK = 0.6
+# Waits before the watch is begun again where the list comes by itself.
+REWATCH_LEAST, REWATCH_MOST = 0.25, 4.0
+
+
+class Phase(enum.Enum):
+    """Where a node is in its life."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    ENDED = "ended"
+
+
+class Node:
+    """Puts the parts together and leads them from start to end."""
+
+    def __init__(self, config: NodeConfig) -> None:
+        self.config = config
+        self.phase = Phase.STARTING
+        self.ending = asyncio.Event()
+        self.limit = max(RESERVE, config.sockets - RESERVE)
+        settings = config.settings
+        self.servers = Servers(clock, config.conn_idle_us, config.connect_timeout_us, self._make_room)
+        self.inquiries = Inquiries(self.servers)
+        patience = {track.name: track.patience_us for track in settings.tracks}
+        self.callers = Callers(patience, self.inquiries.live, self._is_ready, self._is_crowded)
+        self.host = LoopHost(self.inquiries, self.servers, bool(settings.report_fields))
+        # Unix time less this is the node's clock.
+        self.offset_us = time.time_ns() // 1000 - clock()
+        read = partial(read_list, offset_us=self.offset_us)
+        self.discovery = Discovery(config.discovery, read, self._listed, self._list_failed)
+        self.host.discovery = self.discovery
+        self.balancer = Balancer(self.host, settings, config.seed)
+        self.host.balancer = self.inquiries.balancer = self.balancer
+        self.rewatch_wait = REWATCH_LEAST
+        self.draws = 0
+
+    async def run(self) -> None:
+        """The node's whole life."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.ending.set)
+        if self.config.known is not None:
+            known = read_list(self.config.known, self.offset_us)
+            self.discovery.version = known.version
+            self._listed(known, ListKind.REMEMBERED)
+        if not self.config.settings.list_is_asked:
+            self.discovery.follow()
+        await self.callers.listen(self.config.host, self.config.port, self._make_room)
+        # What was made so far stays: it need not be looked through again at each collection.
+        gc.freeze()
+        self._enter(Phase.READY)
+        await self.ending.wait()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        """Take what still comes, answer all in hand, close."""
+        self._enter(Phase.DRAINING)
+        self.callers.closing = True
+        await asyncio.sleep(STILL_ACCEPTING)
+        self.callers.stop_listening()
+        longest = max((track.patience_us for track in self.config.settings.tracks), default=0) / 1e6
+        until = clock() + int((longest + END_SLACK - STILL_ACCEPTING) * 1e6)
+        while self.callers.held and clock() < until:
+            await asyncio.sleep(0.01)
+        await self.callers.close()
+        await self.discovery.close()
+        await self.servers.close()
+        self._enter(Phase.ENDED)
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        pairs = {"node": self.config.name, "phase": phase.value, "in_hand": len(self.inquiries.in_hand)}
+        log.info("phase", extra={"pairs": pairs})
+
+    def _is_ready(self) -> bool:
+        return self.phase is Phase.READY
+
+    # Descriptors.
+
+    def _is_crowded(self) -> bool:
+        """Whether one more inquiry could want more descriptors than there are: each holds two at the most."""
+        return 2 * len(self.inquiries.in_hand) >= self.limit
+
+    def _make_room(self) -> None:
+        """Before a connection is opened and after one was taken: idle ones go first."""
+        over = self.callers.held + self.servers.pool.held - self.limit
+        while over > 0 and (self.servers.pool.close_one_idle() or self.callers.close_one_idle()):
+            over -= 1
+
+    # The list.
+
+    def _listed(self, told: ServerList, kind: ListKind | None = None) -> None:
+        self.servers.learn(told.servers)
+        self.rewatch_wait = REWATCH_LEAST
+        kind = kind or (ListKind.WHOLE if told.whole else ListKind.CHANGES)
+        self.balancer.servers_listed(kind, [listed.entry for listed in told.servers])
+
+    def _list_failed(self) -> None:
+        if self.phase is Phase.ENDED:
+            return
+        if self.config.settings.list_is_asked:
+            self.balancer.list_failed()
+            return
+        # Where the list is to come by itself the module does not ask for it: the watch is the network's.
+        self.draws += 1
+        chance = crc32(f"{self.config.seed} watch {self.draws}".encode()) / 2**32
+        asyncio.get_running_loop().call_later(self.rewatch_wait * (0.5 + chance), self.discovery.follow)
+        self.rewatch_wait = min(2 * self.rewatch_wait, REWATCH_MOST)
--- /dev/null
+++ b/coraldeal/net/wire.py
@@ -0,0 +1,200 @@
+"""The network's words to and from our types: headers, answers, load reports, the list of servers. All pure.
+
+Beyond this file a request is an inquiry and an attempt is a trip.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from coraldeal.interface import Condition, Entry, Outcome
+
+READY_PATH = "/ready"
+HEALTH_PATH = "/health"
+LOAD_PATH = "/status/load"
+LIST_PATH = "/v1/endpoints"
+
+CONDITIONS = {"Ready": Condition.READY, "Terminating": Condition.DRAINING, "Gone": Condition.GONE}
+UNITS = {"m": 1000, "u": 1}
+
+# What belongs to one connection, or is written anew for each.
+OF_THE_HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"content-length",
+    b"expect",
+}
+NOT_TO_SERVERS = OF_THE_HOP | {b"req-deadline", b"req-retry"}
+NOT_TO_CALLERS = OF_THE_HOP | {b"srv-load", b"srv-declined", b"date", b"server"}
+
+_DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,9})?)([mu])")
+
+RawHeaders = Iterable[tuple[bytes, bytes]]
+
+
+class BadCall(Exception):
+    """A request that no inquiry can be made of."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A caller's request: the fields that decisions need, and the bytes that go on unchanged."""
+
+    track: str
+    tenant: str | None
+    # How long the caller will wait; None: as long as the track's patience.
+    left_us: int | None
+    repeat: bool
+    head: bytes
+    body: bytes
+
+    def written(self, wait_us: int) -> bytes:
+        """The bytes of one trip, which tell the server how long the node will wait."""
+        return b"%bReq-Deadline: %dm\r\nContent-Length: %d\r\n\r\n%b" % (
+            self.head,
+            max(1, wait_us // 1000),
+            len(self.body),
+            self.body,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller is told at the end."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class TripEnd:
+    """How a trip or a probe ended, with the answer where there was one."""
+
+    outcome: Outcome
+    latency_us: int
+    report: dict[str, float] | None = None
+    answer: Answer | None = None
+
+
+class Listed(NamedTuple):
+    """A line of the list of servers and where that server is reached from here."""
+
+    entry: Entry
+    address: str
+
+
+class ServerList(NamedTuple):
+    """A whole list or changes of it."""
+
+    version: int
+    whole: bool
+    servers: list[Listed]
+
+
+def _duration_us(text: str) -> int:
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        raise BadCall(400, "Req-Deadline is not a number with the unit m or u")
+    return int(float(match[1]) * UNITS[match[2]])
+
+
+def _kept(headers: RawHeaders, dropped: Collection[bytes]) -> list[tuple[bytes, bytes]]:
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def read_call(
+    method: str, target: str, fields: Mapping[str, str], raw: RawHeaders, body: bytes, tracks: Collection[str]
+) -> Call:
+    """An inquiry from a caller's request."""
+    track = target.partition("?")[0].lstrip("/").partition("/")[0]
+    if not target.startswith("/") or track not in tracks:
+        raise BadCall(404, "the first part of the path names no class of request known here")
+    if not fields.get("Req-Id"):
+        raise BadCall(400, "Req-Id is missing")
+    deadline = fields.get("Req-Deadline")
+    dropped = NOT_TO_SERVERS
+    if "Connection" in fields:
+        dropped = dropped | {name.strip().lower().encode() for name in fields["Connection"].split(",")}
+    lines = b"".join(b"%b: %b\r\n" % pair for pair in _kept(raw, dropped))
+    return Call(
+        track=track,
+        tenant=fields.get("Req-Owner"),
+        left_us=None if deadline is None else _duration_us(deadline),
+        repeat=fields.get("Req-Retry") == "1",
+        head=f"{method} {target} HTTP/1.1\r\n".encode("utf-8", "surrogateescape") + lines,
+        body=body,
+    )
+
+
+def probe_bytes(address: str, with_report: bool) -> bytes:
+    """The bytes of a probe."""
+    path = LOAD_PATH if with_report else HEALTH_PATH
+    return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+
+
+def read_answer(
+    status: int, fields: Mapping[str, str], raw: RawHeaders, body: bytes
+) -> tuple[Outcome, Answer]:
+    """A server's answer to a trip."""
+    if status == 200:
+        kept = _kept(raw, NOT_TO_CALLERS)
+        headers = tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in kept)
+        return Outcome.SATISFIED, Answer(200, body, headers)
+    declined = status in (503, 504) and fields.get("Srv-Declined") == "1"
+    return (Outcome.FULL if declined else Outcome.ERROR), Answer(status)
+
+
+def read_report(text: str | None) -> dict[str, float] | None:
+    """A load report; a figure that is none is passed over, for a report must not fail an answer."""
+    if not text:
+        return None
+    report = {}
+    for pair in text.split(","):
+        name, _, figure = pair.partition("=")
+        try:
+            report[name.strip()] = float(figure)
+        except ValueError:
+            continue
+    return report
+
+
+def deferral(pause_us: int) -> Answer:
+    """Not now; asking again does no harm."""
+    return Answer(503, headers=(("Retry-After", f"{pause_us / 1e6:.3f}"),) if pause_us > 0 else ())
+
+
+def failure(status: int = 502) -> Answer:
+    """Failed; promises nothing about the effect."""
+    return Answer(status)
+
+
+def read_list(values: Any, offset_us: int) -> ServerList:
+    """Discovery's list. `offset_us` turns Unix time into the node's clock; 0 stays 0, for long ago."""
+    if isinstance(values, str | bytes):
+        values = json.loads(values)
+    servers = []
+    for item in values["instances"]:
+        started = int(item.get("startedAtMs") or 0)
+        entry = Entry(
+            server=str(item["instanceId"]),
+            zone=str(item["zone"]),
+            cell=int(item["cell"]),
+            condition=CONDITIONS[item["lifecycle"]],
+            born_us=max(1, started * 1000 - offset_us) if started else 0,
+        )
+        servers.append(Listed(entry, str(item.get("hostPort") or "")))
+    return ServerList(int(values["generation"]), bool(values["reset"]), servers)
