--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -92,22 +92,27 @@
             self.listener.close()
         for connection in self.server.connections:
             if not _is_busy(connection):
-                connection.close()
+                connection.force_close()
 
     async def close(self) -> None:
         await self.server.shutdown(0.05)
 
     @property
     def held(self) -> int:
-        return len(self.server.connections)
+        return len(self.server._connections)
 
     def close_one_idle(self) -> bool:
-        """Give up the first connection found between two requests."""
-        for connection in self.server.connections:
-            if connection._request_count and not _is_busy(connection):
-                connection.close()
-                return True
-        return False
+        """Give up a connection between two requests, or else the oldest that never brought one."""
+        silent = None
+        for connection in self.server._connections:
+            if not _is_busy(connection):
+                if connection._request_count:
+                    connection.force_close()
+                    return True
+                silent = silent or connection
+        if silent is not None:
+            silent.force_close()
+        return silent is not None
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         """From a request's first byte to the last of its answer."""
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -63,17 +63,23 @@
                     *lines, left = (left + chunk).split(b"\n")
                     for line in lines:
                         if line.strip():
-                            self._told(self.read(line))
+                            self._told(line)
         except (OSError, TimeoutError, aiohttp.ClientError) as error:
             why = f"{type(error).__name__}: {error}"
-        except (ValueError, KeyError, TypeError) as error:
-            # What cannot be read must not end the node: the list it holds stays.
-            why = f"unreadable, {type(error).__name__}: {error}"
-            self.version = -1
+        except Exception:
+            # A bug on the way to the module must not end the watching for good.
+            log.exception("watch failed")
+            why = "a bug"
         log.info("watch over", extra={"pairs": {"why": why, "version": self.version}})
         # From the loop, when this watch is done, so that the next one may begin at once.
         asyncio.get_running_loop().call_soon(self.on_failure)
 
-    def _told(self, told: ServerList) -> None:
+    def _told(self, line: bytes) -> None:
+        try:
+            told = self.read(line)
+        except (ValueError, KeyError, TypeError) as error:
+            # The list held stays, and the whole of it is asked for next: changes may have been missed.
+            self.version = -1
+            raise aiohttp.ClientPayloadError(f"unreadable, {type(error).__name__}: {error}") from None
         self.version = told.version
         self.on_list(told)
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -29,6 +29,8 @@
 STILL_ACCEPTING = 0.55
 # How much longer than the longest patience the end may take.
 END_SLACK = 0.6
+# How often the loop's lateness is looked at, and from when on it is told.
+LAG_EVERY, LAG_TOLD = 0.5, 0.1
 # Waits before the watch is begun again where the list comes by itself.
 REWATCH_LEAST, REWATCH_MOST = 0.25, 4.0
 
@@ -78,6 +80,7 @@
         if not self.config.settings.list_is_asked:
             self.discovery.follow()
         await self.callers.listen(self.config.host, self.config.port, self._make_room)
+        self._watch_lag(loop.time())
         # What was made so far stays: it need not be looked through again at each collection.
         gc.freeze()
         self._enter(Phase.READY)
@@ -107,6 +110,15 @@
     def _is_ready(self) -> bool:
         return self.phase is Phase.READY
 
+    def _watch_lag(self, due: float) -> None:
+        """Tell of a loop that runs late, before decisions are blamed for it."""
+        loop = asyncio.get_running_loop()
+        late = loop.time() - due
+        if late > LAG_TOLD:
+            log.warning("loop ran late", extra={"pairs": {"late_ms": int(late * 1000)}})
+        due = loop.time() + LAG_EVERY
+        loop.call_at(due, self._watch_lag, due)
+
     # Descriptors.
 
     def _is_crowded(self) -> bool:
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -17,8 +17,10 @@
 from coraldeal.interface import Condition, Outcome, ServerId
 from coraldeal.net.wire import Listed, RawHeaders, TripEnd, probe_bytes, read_answer, read_report
 
-# The part of a server's idle limit after which a connection is closed on this side.
-IDLE_PART = 0.6
+# The part of a server's idle limit after which a connection is not used again, and how often, as a part of
+# it, such connections are looked for and closed.
+IDLE_PART = 0.7
+SWEEP_PART = 0.1
 # What an answer may hold; servers promise far less.
 ANSWER_MOST = 1 << 20
 # How long a probe may take beyond the time for a connection.
@@ -43,6 +45,10 @@
     def idle(self) -> int:
         return sum(map(len, self._conns.values()))
 
+    def close_overdue(self) -> None:
+        """Close what has been idle too long; the connector by itself looks only once in its time-out."""
+        self._cleanup()
+
     def close_one_idle(self) -> bool:
         """Give up the connection that has been idle the longest."""
         oldest = min((c for c in self._conns.values() if c), key=lambda c: c[0][1], default=None)
@@ -68,22 +74,28 @@
     """All servers that the list has named, and the connections to them."""
 
     def __init__(
-        self, clock: Callable[[], int], idle_us: int, connect_timeout_us: int, may_open: Callable[[], None]
+        self, clock: Callable[[], int], idle_us: int, connect_timeout_us: int, make_room: Callable[[], None]
     ) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.targets: dict[ServerId, Target] = {}
-        self.may_open = may_open
+        self.make_room = make_room
         connect = connect_timeout_us / 1e6
         self.limits = aiohttp.ClientTimeout(total=None, connect=connect)
         self.probe_wait_us = connect_timeout_us + int(PROBE_WAIT * 1e6)
-        # The connector looks for idle connections once in its time-out, so one may stand for twice as long;
-        # it is not reused after the time-out, and the server's own close of it costs nothing.
-        self.pool = Pool(limit=0, keepalive_timeout=IDLE_PART * idle_us / 1e6, happy_eyeballs_delay=None)
+        idle = idle_us / 1e6
+        self.pool = Pool(limit=0, keepalive_timeout=IDLE_PART * idle, happy_eyeballs_delay=None)
+        self.sweep_every = SWEEP_PART * idle
+        self.sweeper = self.loop.call_later(self.sweep_every, self._sweep)
 
     async def close(self) -> None:
+        self.sweeper.cancel()
         await self.pool.close()
 
+    def _sweep(self) -> None:
+        self.pool.close_overdue()
+        self.sweeper = self.loop.call_later(self.sweep_every, self._sweep)
+
     def learn(self, listed: Iterable[Listed]) -> None:
         """Note the addresses of a list or of its changes."""
         for entry, address in listed:
@@ -107,10 +119,7 @@
         handed_over = False
         try:
             async with asyncio.timeout(timeout_us / 1e6):
-                self.may_open()
-                connection = await self.pool.connect(target.template, [], self.limits)
-                protocol = connection.protocol
-                assert protocol is not None
+                connection, protocol = await self._connect(target)
                 protocol.set_response_params(auto_decompress=False, read_until_eof=True)
                 handed_over = self._write(protocol, message)
                 if not handed_over:
@@ -149,6 +158,18 @@
             return TripEnd(end.outcome, end.latency_us, read_report(text) or end.report)
         return end
 
+    async def _connect(self, target: Target) -> tuple[aiohttp.connector.Connection, ResponseHandler]:
+        """A connection to the server that is fit for a trip."""
+        while True:
+            self.make_room()
+            connection = await self.pool.connect(target.template, [], self.limits)
+            protocol = connection.protocol
+            assert protocol is not None
+            if not protocol.should_close:
+                return connection, protocol
+            # Something came on it unasked while it was idle: it must not be taken for this trip's answer.
+            connection.close()
+
     def _write(self, protocol: ResponseHandler, message: bytes) -> bool:
         """Hand all bytes to the socket; False if it was closed already and none went out."""
         transport = protocol.transport
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -20,6 +20,7 @@
 
 CONDITIONS = {"Ready": Condition.READY, "Terminating": Condition.DRAINING, "Gone": Condition.GONE}
 UNITS = {"m": 1000, "u": 1}
+METHODS = ("GET", "POST")
 
 # What belongs to one connection, or is written anew for each.
 OF_THE_HOP = {
@@ -63,9 +64,9 @@
 
     def written(self, wait_us: int) -> bytes:
         """The bytes of one trip, which tell the server how long the node will wait."""
-        return b"%bReq-Deadline: %dm\r\nContent-Length: %d\r\n\r\n%b" % (
+        return b"%bReq-Deadline: %du\r\nContent-Length: %d\r\n\r\n%b" % (
             self.head,
-            max(1, wait_us // 1000),
+            max(1, wait_us),
             len(self.body),
             self.body,
         )
@@ -123,6 +124,8 @@
     track = target.partition("?")[0].lstrip("/").partition("/")[0]
     if not target.startswith("/") or track not in tracks:
         raise BadCall(404, "the first part of the path names no class of request known here")
+    if method not in METHODS:
+        raise BadCall(405, "the method is neither GET nor POST")
     if not fields.get("Req-Id"):
         raise BadCall(400, "Req-Id is missing")
     deadline = fields.get("Req-Deadline")
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,246 @@
+"""Small stand-ins on loopback for servers, callers and discovery, and a node to put between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+from unittest import mock
+
+from coraldeal.config import NodeConfig, read_settings
+from coraldeal.net.node import Node
+
+SETTINGS: dict[str, Any] = {
+    "layer": 0,
+    "instances": 1,
+    "self_index": 0,
+    "tick_ns": 1_000_000,
+    "zone": "z",
+    "discovery": "ask",
+    "tracks": [
+        {
+            "name": name,
+            "effect": effect,
+            "group": "all",
+            "window_ns": 2_000_000_000,
+            "expected_time_ns": 1_000_000_000,
+            "patience_ns": 2_000_000_000,
+            "payoff": payoff,
+            "late_payoff": 0.0,
+        }
+        for name, effect, payoff in (
+            ("read", "retryable", 5.0),
+            ("write", "fragile", 5.0),
+            ("low", "dedup", 1.0),
+        )
+    ],
+    "tenants": [],
+    "beyond_share_payoff": 0.1,
+    "bounds": {
+        "max_trips": 3,
+        "cancel": True,
+        "probing": False,
+        "retry_after": True,
+        "max_retry_after_ns": 1_000_000_000,
+        "conn_idle_ns": 2_000_000_000,
+        "connect_timeout_ns": 200_000_000,
+    },
+    "rules": {
+        "ask_every_ns": 1_000_000_000,
+        "cold_from": 0.3,
+        "warm_after_ns": 1_000_000_000,
+        "fall_multiple": 3.0,
+        "fall_ns": 1_000_000_000,
+    },
+    "tariffs": {"probe": 1.0},
+    "reporting": {"fields": []},
+}
+
+Played = Callable[["Seen", asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Seen:
+    """A request as a stand-in saw it."""
+
+    def __init__(self, head: bytes, body: bytes) -> None:
+        self.line, *lines = head.decode("latin-1").split("\r\n")
+        self.fields = {}
+        for line in lines:
+            name, _, value = line.partition(": ")
+            if name:
+                self.fields[name.lower()] = value
+        self.body = body
+
+
+async def read_message(reader: asyncio.StreamReader) -> Seen:
+    """One request or answer, whose length is told."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    seen = Seen(head[:-4], b"")
+    seen.body = await reader.readexactly(int(seen.fields.get("content-length", 0)))
+    return seen
+
+
+def answer(status: int = 200, body: bytes = b"done", *fields: str) -> bytes:
+    lines = "".join(f"{field}\r\n" for field in fields)
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body
+
+
+async def serve_well(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer())
+
+
+async def never_answer(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Hold until the other side ends the connection."""
+    await reader.read()
+
+
+async def hang_up(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+class StandIn:
+    """A server of requests that plays what a test tells it to."""
+
+    def __init__(self, play: Played = serve_well) -> None:
+        self.play = play
+        self.seen: list[Seen] = []
+        self.opened = 0
+        self.closed = 0
+        self.address = ""
+
+    async def start(self) -> StandIn:
+        self.server = await asyncio.start_server(self._talk, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        try:
+            while True:
+                seen = await read_message(reader)
+                self.seen.append(seen)
+                await self.play(seen, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
+
+    def stop(self) -> None:
+        self.server.close()
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.next_id = 0
+        self.writer: asyncio.StreamWriter
+
+    async def open(self) -> Caller:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return self
+
+    def send(self, track: str = "read", body: bytes = b"", deadline: str = "1500m", *fields: str) -> None:
+        self.next_id += 1
+        lines = "".join(f"{field}\r\n" for field in fields)
+        method = "POST" if body else "GET"
+        self.raw(
+            f"{method} /{track}/x?y=%20z HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {id(self):x}{self.next_id}\r\n"
+            f"Req-Deadline: {deadline}\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+
+    def raw(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def answer(self) -> tuple[int, Seen]:
+        seen = await asyncio.wait_for(read_message(self.reader), 5)
+        return int(seen.line.split()[1]), seen
+
+    async def ask(self, *args: Any) -> tuple[int, Seen]:
+        self.send(*args)
+        return await self.answer()
+
+    async def at_end(self) -> bytes:
+        """What still comes until the node ends the connection."""
+        return await asyncio.wait_for(self.reader.read(), 5)
+
+    def leave(self) -> None:
+        self.writer.close()
+
+
+def entry(name: str, address: str, lifecycle: str = "Ready") -> dict[str, Any]:
+    return {
+        "instanceId": name,
+        "hostPort": address,
+        "zone": "z",
+        "machineType": "m",
+        "cell": 0,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
+
+
+def server_list(generation: int, reset: bool, *entries: dict[str, Any]) -> dict[str, Any]:
+    return {"generation": generation, "reset": reset, "instances": list(entries)}
+
+
+def config(
+    known: dict[str, Any],
+    discovery: str | None = None,
+    pushed: bool = False,
+    sockets: int = 1024,
+    bounds: dict[str, Any] | None = None,
+) -> NodeConfig:
+    told = {**SETTINGS, "discovery": "push" if pushed else "ask", "bounds": bounds or SETTINGS["bounds"]}
+    return NodeConfig(
+        name="n0",
+        host="127.0.0.1",
+        port=0,
+        discovery=discovery,
+        seed=7,
+        sockets=sockets,
+        known=known,
+        conn_idle_us=2_000_000,
+        connect_timeout_us=200_000,
+        settings=read_settings(json.dumps(told)),
+    )
+
+
+class RunningNode:
+    """A node in the test's own loop: `async with RunningNode(config(...)) as node`."""
+
+    def __init__(self, told: NodeConfig) -> None:
+        self.told = told
+
+    async def __aenter__(self) -> RunningNode:
+        self.node = Node(self.told)
+        self.task = asyncio.create_task(self.node.run())
+        while self.node.callers.listener is None:
+            await asyncio.sleep(0)
+        self.port = self.node.callers.listener.sockets[0].getsockname()[1]
+        self.callers: list[Caller] = []
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for caller in self.callers:
+            caller.leave()
+        self.node.ending.set()
+        # Nobody comes any more: the end need not wait for callers.
+        with mock.patch("coraldeal.net.node.STILL_ACCEPTING", 0):
+            await self.task
+
+    async def caller(self) -> Caller:
+        self.callers.append(await Caller(self.port).open())
+        return self.callers[-1]
+
+
+async def until(true: Callable[[], bool], seconds: float = 5.0) -> None:
+    """Wait for what must come; the time is only there to fail by."""
+    async with asyncio.timeout(seconds):
+        while not true():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,333 @@
+"""A whole node between stand-ins: answers, ends, phases, descriptors, the list."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from coraldeal.interface import Outcome
+from coraldeal.net import discovery as discovery_module
+from tests.standins import (
+    SETTINGS,
+    Caller,
+    Played,
+    RunningNode,
+    Seen,
+    StandIn,
+    config,
+    entry,
+    hang_up,
+    never_answer,
+    serve_well,
+    server_list,
+    until,
+)
+
+ROOT = Path(__file__).parent.parent
+
+
+class NodeCase(unittest.IsolatedAsyncioTestCase):
+    async def stand_in(self, play: Played = serve_well) -> StandIn:
+        stand_in = await StandIn(play).start()
+        self.addCleanup(stand_in.stop)
+        return stand_in
+
+    async def node(self, *servers: StandIn, **told: Any) -> RunningNode:
+        entries = [entry(f"s{i}", server.address) for i, server in enumerate(servers)]
+        return await self.enterAsyncContext(RunningNode(config(server_list(1, True, *entries), **told)))
+
+
+class Inquiries(NodeCase):
+    async def test_ready_and_served_unchanged(self) -> None:
+        server = await self.stand_in()
+        caller = await (await self.node(server)).caller()
+        caller.raw(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+        self.assertEqual((await caller.answer())[0], 200)
+        status, seen = await caller.ask("low", b"\x00body", "1500m", "Idempotency-Key: k1")
+        self.assertEqual((status, seen.body), (200, b"done"))
+        (request,) = server.seen
+        self.assertEqual((request.line, request.body), ("POST /low/x?y=%20z HTTP/1.1", b"\x00body"))
+        self.assertEqual(request.fields["idempotency-key"], "k1")
+        self.assertRegex(request.fields["req-deadline"], r"^\d+u$")
+
+    async def test_goes_again_where_it_may_and_only_there(self) -> None:
+        server = await self.stand_in(hang_up)
+        caller = await (await self.node(server)).caller()
+        self.assertEqual((await caller.ask("write", b"x"))[0], 502)
+        self.assertEqual(len(server.seen), 1)
+        self.assertEqual((await caller.ask("read"))[0], 503)
+        self.assertGreater(len(server.seen), 2)
+
+    async def test_client_gone_is_told_and_its_trip_stopped(self) -> None:
+        server = await self.stand_in(never_answer)
+        running = await self.node(server)
+        node, caller = running.node, await running.caller()
+        caller.send()
+        await until(lambda: len(server.seen) == 1)
+        caller.leave()
+        await until(lambda: server.closed == 1)
+        await until(lambda: not node.inquiries.in_hand)
+        self.assertEqual((node.balancer.inquiries, node.balancer.trips), ({}, {}))
+
+    async def test_client_gone_while_trips_may_not_be_stopped(self) -> None:
+        server = await self.stand_in(never_answer)
+        bounds = {**SETTINGS["bounds"], "cancel": False}
+        running = await self.node(server, bounds=bounds)
+        node, caller = running.node, await running.caller()
+        caller.send("read", b"", "400m")
+        await until(lambda: len(server.seen) == 1)
+        caller.leave()
+        await until(lambda: not node.balancer.inquiries)
+        self.assertEqual((len(node.balancer.trips), server.closed), (1, 0))
+        await until(lambda: not node.balancer.trips and not node.inquiries.in_hand)
+
+    async def test_broken_and_oversized_input(self) -> None:
+        server = await self.stand_in()
+        node = await self.node(server)
+        head = b"POST /read/x HTTP/1.1\r\nHost: n\r\nReq-Id: 1\r\n"
+        for status, data in (
+            (400, b"nonsense\r\n\r\n"),
+            (400, b"GET /read HTTP/1.1\r\nHost: n\r\n\r\n"),
+            (400, head + b"Req-Deadline: soon\r\n\r\n"),
+            (400, b"GET /read HTTP/1.1\r\nX: " + b"y" * 20_000 + b"\r\n\r\n"),
+            (404, b"GET /nothing HTTP/1.1\r\nHost: n\r\n\r\n"),
+            (413, head + b"Content-Length: 70000\r\n\r\n" + bytes(70_000)),
+        ):
+            with self.subTest(data=data[:40]):
+                caller = await node.caller()
+                caller.raw(data)
+                self.assertEqual((await caller.answer())[0], status)
+                caller.leave()
+        self.assertEqual((await (await node.caller()).ask())[0], 200)
+        self.assertEqual(len(server.seen), 1)
+
+    async def test_a_bug_is_logged_answered_and_costs_no_other_inquiry(self) -> None:
+        node = await self.node(await self.stand_in())
+        caller = await node.caller()
+        with (
+            mock.patch.object(node.node.balancer, "inquiry_arrived", side_effect=KeyError("bug")),
+            self.assertLogs("coraldeal.net.inquiry", "ERROR") as logs,
+        ):
+            self.assertEqual((await caller.ask())[0], 500)
+        self.assertIn("inquiry failed", logs.output[0])
+        self.assertEqual((await caller.ask())[0], 200)
+
+    async def test_a_bug_in_a_trip_frees_its_place(self) -> None:
+        node = await self.node(await self.stand_in())
+        caller = await node.caller()
+        with (
+            mock.patch("coraldeal.net.servers.read_answer", side_effect=KeyError("bug")),
+            self.assertLogs("coraldeal.net.inquiry", "ERROR"),
+        ):
+            self.assertEqual((await caller.ask())[0], 500)
+        await until(lambda: not node.node.balancer.trips)
+        self.assertEqual((await caller.ask())[0], 200)
+
+    async def test_an_inquiry_that_the_module_forgets_is_answered_in_time(self) -> None:
+        node = await self.node(await self.stand_in())
+        caller = await node.caller()
+        with (
+            mock.patch.object(node.node.balancer, "inquiry_arrived"),
+            self.assertLogs("coraldeal.net.inquiry", "WARNING"),
+        ):
+            self.assertEqual((await caller.ask("read", b"", "50m"))[0], 504)
+        self.assertEqual(node.node.inquiries.in_hand, {})
+
+    async def test_nothing_comes_back_inside_the_modules_own_call(self) -> None:
+        refusing = await self.stand_in()
+        refusing.stop()
+        node = await self.node(refusing)
+        balancer, inside, reentered, told = node.node.balancer, 0, [], []
+
+        def watched(name: str) -> Any:
+            method = getattr(type(balancer), name)
+
+            def call(*args: Any) -> Any:
+                nonlocal inside
+                told.append((name, args))
+                if inside:
+                    reentered.append(name)
+                inside += 1
+                try:
+                    return method(balancer, *args)
+                finally:
+                    inside -= 1
+
+            return call
+
+        for name in (
+            "inquiry_arrived",
+            "trip_ended",
+            "client_left",
+            "alarm",
+            "probe_ended",
+            "servers_listed",
+        ):
+            setattr(balancer, name, watched(name))
+        caller = await node.caller()
+        self.assertEqual((await caller.ask("read", b"", "300m"))[0], 503)
+        ends = [args[2] for name, args in told if name == "trip_ended"]
+        self.assertIn(Outcome.CONNECT_FAILED, ends)
+        self.assertIn("alarm", [name for name, _ in told])
+        self.assertEqual(reentered, [])
+
+
+class Descriptors(NodeCase):
+    async def test_idle_callers_make_room_for_new_ones(self) -> None:
+        server = await self.stand_in()
+        node = await self.node(server, sockets=200)
+        self.assertEqual(node.node.limit, 104)
+        callers = [await node.caller() for _ in range(100)]
+        for caller in callers:
+            self.assertEqual((await caller.ask())[0], 200)
+        more = [await node.caller() for _ in range(60)]
+        for caller in more:
+            self.assertEqual((await caller.ask())[0], 200)
+        await until(lambda: node.node.callers.held + node.node.servers.pool.held <= 104)
+        self.assertEqual(await callers[0].at_end(), b"")
+
+    async def test_beyond_the_limit_an_inquiry_is_refused_not_lost(self) -> None:
+        server = await self.stand_in(never_answer)
+        node = await self.node(server, sockets=200)
+        callers = [await node.caller() for _ in range(60)]
+        for caller in callers:
+            caller.send()
+        await until(lambda: len(node.node.inquiries.in_hand) == 52)
+        statuses = [(await caller.answer())[0] for caller in callers[52:]]
+        self.assertEqual(statuses, [503] * 8)
+        server.play = serve_well
+        for caller in callers[:52]:
+            caller.leave()
+        await until(lambda: not node.node.inquiries.in_hand)
+
+
+class ListOfServers(NodeCase):
+    async def discovery(self, *lines: Any, status: int = 200, hold: bool = True) -> StandIn:
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if status != 200:
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for line in lines:
+                data = (line if isinstance(line, bytes) else json.dumps(line).encode()) + b"\n"
+                # In two pieces: a line is not a chunk.
+                for piece in (data[:9], data[9:]):
+                    writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+                    await writer.drain()
+            if hold:
+                await reader.read()
+            writer.close()
+
+        return await self.stand_in(play)
+
+    async def test_begins_with_what_it_knew_and_watches_from_there(self) -> None:
+        old, new = await self.stand_in(), await self.stand_in()
+        changes = server_list(2, False, entry("s0", old.address, "Gone"), entry("new", new.address))
+        discovery = await self.discovery(changes, b"")
+        node = await self.node(old, discovery=discovery.address)
+        self.assertEqual((await (await node.caller()).ask())[0], 200)
+        self.assertEqual(len(old.seen), 1)
+        await until(lambda: "new" in node.node.balancer.servers)
+        self.assertEqual(discovery.seen[0].line, "GET /v1/endpoints?watch=1&after=1 HTTP/1.1")
+        self.assertEqual((await (await node.caller()).ask())[0], 200)
+        self.assertEqual((len(old.seen), len(new.seen)), (1, 1))
+
+    async def test_keeps_its_list_and_asks_again_when_discovery_fails(self) -> None:
+        server = await self.stand_in()
+        discovery = await self.discovery(status=503)
+        node = await self.node(server, discovery=discovery.address)
+        await until(lambda: len(discovery.seen) >= 2)
+        self.assertEqual((await (await node.caller()).ask())[0], 200)
+
+    async def test_silence_is_a_dead_watch(self) -> None:
+        discovery = await self.discovery(server_list(2, False))
+        with mock.patch.object(discovery_module, "SILENCE", 0.1):
+            await self.node(await self.stand_in(), discovery=discovery.address)
+            await until(lambda: len(discovery.seen) >= 2)
+        self.assertIn("after=2", discovery.seen[1].line)
+
+    async def test_what_cannot_be_read_ends_the_watch_and_the_whole_list_is_asked_for(self) -> None:
+        discovery = await self.discovery(server_list(2, False), b'{"generation": 3}')
+        node = await self.node(await self.stand_in(), discovery=discovery.address)
+        await until(lambda: len(discovery.seen) >= 2)
+        self.assertEqual(discovery.seen[1].line, "GET /v1/endpoints?watch=1 HTTP/1.1")
+        self.assertEqual(list(node.node.balancer.servers), ["s0"])
+
+    async def test_a_list_that_is_pushed_is_watched_from_the_start_and_again(self) -> None:
+        discovery = await self.discovery(server_list(2, False), hold=False)
+        with mock.patch("coraldeal.net.node.REWATCH_LEAST", 0.01):
+            node = await self.node(await self.stand_in(), discovery=discovery.address, pushed=True)
+            await until(lambda: len(discovery.seen) >= 3)
+        self.assertEqual(node.node.balancer.list_wait, 0)
+
+
+class Ending(unittest.IsolatedAsyncioTestCase):
+    """The program itself, by its command line."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = await StandIn(self.slow).start()
+        self.addCleanup(self.server.stop)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        free = await StandIn().start()
+        self.port = int(free.address.rpartition(":")[2])
+        free.stop()
+        await free.server.wait_closed()
+        path = os.path.join(folder, "config.json")
+        known = server_list(1, True, entry("s0", self.server.address))
+        told = {"listen": f"127.0.0.1:{self.port}", "known": known, "seed": "1", "settings": SETTINGS}
+        Path(path).write_text(json.dumps(told))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "coraldeal", "serve", "--config", path], cwd=ROOT, stderr=subprocess.PIPE
+        )
+        self.addCleanup(self.process.communicate)
+        self.addCleanup(self.process.kill)
+        for _ in range(500):
+            try:
+                self.caller = await self.open()
+                break
+            except ConnectionError:
+                await asyncio.sleep(0.02)
+        self.caller.raw(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+        self.assertEqual((await self.caller.answer())[0], 200)
+
+    async def open(self) -> Caller:
+        caller = await Caller(self.port).open()
+        self.addCleanup(caller.leave)
+        return caller
+
+    async def slow(self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.8 if len(self.server.seen) == 1 else 0)
+        await serve_well(seen, reader, writer)
+
+    async def test_all_in_hand_and_all_that_still_comes_is_answered(self) -> None:
+        idle = await self.open()
+        self.assertEqual(len(self.server.seen), 0)
+        self.caller.send()
+        await until(lambda: len(self.server.seen) == 1)
+        self.process.send_signal(signal.SIGTERM)
+        probe = await self.open()
+        ready = 200
+        while ready == 200:
+            probe.raw(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+            ready, seen = await probe.answer()
+        self.assertEqual((ready, seen.fields.get("connection")), (503, "close"))
+        late = await self.open()
+        status, seen = await late.ask()
+        self.assertEqual((status, seen.fields.get("connection")), (200, "close"))
+        self.assertEqual(await idle.at_end(), b"")
+        status, seen = await self.caller.answer()
+        self.assertEqual((status, seen.body, seen.fields.get("connection")), (200, b"done", "close"))
+        while self.process.poll() is None:
+            await asyncio.sleep(0.02)
+        self.assertEqual(self.process.returncode, 0)
+        with self.assertRaises(ConnectionError):
+            await self.open()
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,243 @@
+"""Trips on their connections: what went out, how often, and how its end is told."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from coraldeal.interface import Condition, Entry, Outcome
+from coraldeal.net.host import clock
+from coraldeal.net.servers import Servers
+from coraldeal.net.wire import Listed, TripEnd
+from tests.standins import (
+    Played,
+    Seen,
+    StandIn,
+    answer,
+    hang_up,
+    never_answer,
+    serve_well,
+    until,
+)
+
+GET = b"GET /read/1 HTTP/1.1\r\nHost: s\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n"
+# More than the sockets between two ends hold, so that some of it stays unwritten.
+LARGE = 64 << 20
+SECOND = 1_000_000
+
+
+def post(size: int) -> bytes:
+    return b"POST /read/1 HTTP/1.1\r\nHost: s\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
+
+
+def entry(name: str, condition: Condition = Condition.READY) -> Entry:
+    return Entry(name, "z", 0, condition, 0)
+
+
+class Trips(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.opened = 0
+        self.servers = Servers(clock, 2 * SECOND, SECOND // 5, self.count)
+        self.addAsyncCleanup(self.servers.close)
+
+    def count(self) -> None:
+        self.opened += 1
+
+    async def stand_in(self, play: Played = serve_well) -> StandIn:
+        stand_in = await StandIn(play).start()
+        self.addCleanup(stand_in.stop)
+        self.servers.learn([Listed(entry("s"), stand_in.address)])
+        return stand_in
+
+    async def trip(self, message: bytes = GET, timeout_us: int = 5 * SECOND) -> TripEnd:
+        return await self.servers.trip("s", message, timeout_us)
+
+    async def test_satisfied_with_report(self) -> None:
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 103 Early\r\n\r\n" + answer(200, b"ok", "Srv-Load: queue=2"))
+
+        server = await self.stand_in(play)
+        end = await self.trip(post(3))
+        self.assertIs(end.outcome, Outcome.SATISFIED)
+        self.assertEqual((end.report, end.answer and end.answer.body), ({"queue": 2.0}, b"ok"))
+        self.assertEqual((server.seen[0].line, server.seen[0].body), ("POST /read/1 HTTP/1.1", bytes(3)))
+
+    async def test_other_answers(self) -> None:
+        replies = [answer(500), answer(503, b"", "Srv-Declined: 1"), answer(302, b"", "Location: /read/2")]
+
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(replies[len(server.seen) - 1])
+
+        server = await self.stand_in(play)
+        ends = [(await self.trip()).outcome for _ in replies]
+        self.assertEqual(ends, [Outcome.ERROR, Outcome.FULL, Outcome.ERROR])
+        self.assertEqual(len(server.seen), 3, "a redirect is not followed")
+
+    async def test_body_goes_on_as_it_came_though_it_says_it_is_compressed(self) -> None:
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(200, b"not gzip", "Content-Encoding: gzip", "Set-Cookie: a=b"))
+
+        server = await self.stand_in(play)
+        end = await self.trip()
+        self.assertEqual(end.answer and end.answer.body, b"not gzip")
+        await self.trip()
+        self.assertNotIn("cookie", server.seen[1].fields)
+
+    async def test_a_request_on_a_broken_reused_connection_goes_out_once(self) -> None:
+        server = await self.stand_in()
+        self.assertIs((await self.trip()).outcome, Outcome.SATISFIED)
+        server.play = hang_up
+        # A GET: a client session would repeat it here by itself.
+        self.assertIs((await self.trip()).outcome, Outcome.RESET)
+        await until(lambda: server.closed == 1)
+        self.assertEqual((len(server.seen), server.opened), (2, 1))
+
+    async def test_refused_connection_is_proved_not_run(self) -> None:
+        server = await self.stand_in()
+        server.stop()
+        await server.server.wait_closed()
+        self.assertIs((await self.trip()).outcome, Outcome.CONNECT_FAILED)
+
+    async def test_connection_that_never_comes_up(self) -> None:
+        full = socket.socket()
+        self.addCleanup(full.close)
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        for _ in range(4):
+            filling = socket.socket()
+            self.addCleanup(filling.close)
+            filling.setblocking(False)
+            filling.connect_ex(full.getsockname())
+        self.servers.learn([Listed(entry("s"), f"127.0.0.1:{full.getsockname()[1]}")])
+        end = await self.trip()
+        self.assertIs(end.outcome, Outcome.CONNECT_FAILED)
+        self.assertGreaterEqual(end.latency_us, SECOND // 5 - 2000)
+
+    async def unread(self, after: str) -> tuple[TripEnd, int]:
+        """A server that takes a part of a large message; the trip ends by `after`; how much it got."""
+        took = 0
+        begun = asyncio.Event()
+        read_on = asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal took
+            took += len(await reader.read(1000))
+            begun.set()
+            if after == "reset":
+                writer.transport.abort()
+            await read_on.wait()
+            try:
+                while data := await reader.read(1 << 20):
+                    took += len(data)
+            except ConnectionError:
+                pass
+            finished.set()
+            writer.close()
+
+        finished = asyncio.Event()
+        server = await asyncio.start_server(talk, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.servers.learn([Listed(entry("s"), f"127.0.0.1:{server.sockets[0].getsockname()[1]}")])
+        trip = asyncio.create_task(self.trip(post(LARGE), SECOND // 5 if after == "time" else 5 * SECOND))
+        await begun.wait()
+        if after == "stop":
+            trip.cancel()
+        end = await trip
+        read_on.set()
+        await finished.wait()
+        return end, took
+
+    async def test_break_before_the_last_byte_is_proved_not_run(self) -> None:
+        end, _ = await self.unread("reset")
+        self.assertIs(end.outcome, Outcome.CONNECT_FAILED)
+
+    async def test_time_out_before_the_last_byte_is_proved_not_run_and_the_rest_never_follows(self) -> None:
+        end, took = await self.unread("time")
+        self.assertIs(end.outcome, Outcome.CONNECT_FAILED)
+        self.assertLess(took, LARGE)
+
+    async def test_stop_before_the_last_byte_lets_the_rest_never_follow(self) -> None:
+        end, took = await self.unread("stop")
+        self.assertIs(end.outcome, Outcome.WITHDRAWN)
+        self.assertLess(took, LARGE)
+
+    async def test_break_after_the_last_byte_is_a_reset(self) -> None:
+        async def cut(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+            writer.close()
+
+        for play in (hang_up, cut):
+            with self.subTest(play=play):
+                await self.stand_in(play)
+                self.assertIs((await self.trip()).outcome, Outcome.RESET)
+
+    async def test_an_answer_that_is_none_is_a_reset(self) -> None:
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"what?\r\n\r\n")
+
+        await self.stand_in(play)
+        self.assertIs((await self.trip()).outcome, Outcome.RESET)
+
+    async def test_time_out_and_stop_close_the_connection(self) -> None:
+        server = await self.stand_in(never_answer)
+        self.assertIs((await self.trip(timeout_us=SECOND // 20)).outcome, Outcome.TIMEOUT)
+        await until(lambda: server.closed == 1)
+        trip = asyncio.create_task(self.trip())
+        await until(lambda: len(server.seen) == 2)
+        trip.cancel()
+        self.assertIs((await trip).outcome, Outcome.WITHDRAWN)
+        await until(lambda: server.closed == 2)
+
+    async def test_latest_connection_is_reused_and_idle_ones_are_closed_early(self) -> None:
+        let_go = asyncio.Event()
+
+        async def together(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            ports.append(writer.get_extra_info("peername")[1])
+            if len(ports) == 2:
+                let_go.set()
+            await let_go.wait()
+            if len(ports) == 2 and writer.get_extra_info("peername")[1] == ports[1]:
+                await asyncio.sleep(0.02)
+            writer.write(answer())
+
+        ports: list[int] = []
+        server = await self.stand_in(together)
+        await asyncio.gather(self.trip(), self.trip())
+        await self.trip()
+        self.assertEqual(ports[2], ports[1], "the connection used last goes first")
+        self.assertEqual(self.servers.pool.held, 2)
+        # The other end would close after 2 s.
+        await until(lambda: server.closed == 2, 1.9)
+
+    async def test_what_came_unasked_is_no_answer(self) -> None:
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(200, b"asked"))
+            if len(server.seen) == 1:
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                writer.write(answer(200, b"unasked"))
+
+        server = await self.stand_in(play)
+        await self.trip()
+        await asyncio.sleep(0.1)
+        end = await self.trip()
+        self.assertEqual(end.answer and end.answer.body, b"asked")
+        self.assertEqual(server.opened, 2)
+
+    async def test_a_server_taken_off_the_list_gets_nothing(self) -> None:
+        server = await self.stand_in()
+        self.servers.learn([Listed(entry("s", Condition.GONE), "")])
+        self.assertIs((await self.trip()).outcome, Outcome.CONNECT_FAILED)
+        self.assertEqual(server.seen, [])
+
+    async def test_probe(self) -> None:
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(200, b"inflight=3,queue=1"))
+
+        server = await self.stand_in(play)
+        end = await self.servers.probe("s", with_report=True)
+        self.assertEqual((end.outcome, end.report), (Outcome.SATISFIED, {"inflight": 3.0, "queue": 1.0}))
+        await self.servers.probe("s", with_report=False)
+        lines = [seen.line for seen in server.seen]
+        self.assertEqual(lines, ["GET /status/load HTTP/1.1", "GET /health HTTP/1.1"])
