--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -71,11 +71,13 @@
         server = await self.stand_in(never_answer)
         running = await self.node(server)
         node, caller = running.node, await running.caller()
-        caller.send()
-        await until(lambda: len(server.seen) == 1)
-        caller.leave()
-        await until(lambda: server.closed == 1)
-        await until(lambda: not node.inquiries.in_hand)
+        with mock.patch.object(node.balancer, "trip_ended", wraps=node.balancer.trip_ended) as ended:
+            caller.send()
+            await until(lambda: len(server.seen) == 1)
+            caller.leave()
+            await until(lambda: server.closed == 1)
+            await until(lambda: not node.inquiries.in_hand)
+        self.assertIs(ended.call_args.args[2], Outcome.WITHDRAWN)
         self.assertEqual((node.balancer.inquiries, node.balancer.trips), ({}, {}))
 
     async def test_client_gone_while_trips_may_not_be_stopped(self) -> None:
