--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -18,6 +18,38 @@
 EFFECTS = {"retryable": Effect.REDOABLE, "dedup": Effect.LABELLED, "fragile": Effect.IRREVERSIBLE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
+# What a node takes for settings that its configuration leaves out: one node alone in front of one tier, which
+# may do little. On the bench's wire nothing may be left out.
+TRACK_DEFAULTS: dict[str, Any] = {"effect": "fragile", "payoff": 1.0, "late_payoff": 0.0}
+DEFAULTS: dict[str, Any] = {
+    "layer": 0,
+    "instances": 1,
+    "self_index": 0,
+    "tick_ns": 1_000_000,
+    "zone": "",
+    "tenants": [],
+    "beyond_share_payoff": 0.1,
+    "discovery": "push",
+    "bounds": {
+        "max_trips": 3,
+        "cancel": True,
+        "probing": False,
+        "retry_after": True,
+        "max_retry_after_ns": 1_000_000_000,
+        "conn_idle_ns": 5_000_000_000,
+        "connect_timeout_ns": 200_000_000,
+    },
+    "rules": {
+        "ask_every_ns": 10_000_000_000,
+        "cold_from": 0.3,
+        "warm_after_ns": 8_000_000_000,
+        "fall_multiple": 3.0,
+        "fall_ns": 1_000_000_000,
+    },
+    "tariffs": {"probe": 1.0},
+    "reporting": {"fields": []},
+}
+
 
 class SettingsError(Exception):
     """A required key is missing or holds a value that cannot be used."""
@@ -26,8 +58,9 @@
 class _Reader:
     """Reads keys of one JSON object and names the full path of a key that is not as it must be."""
 
-    def __init__(self, values: Any, path: str = "") -> None:
+    def __init__(self, values: Any, path: str = "", defaults: dict[str, Any] | None = None) -> None:
         self.path = path
+        self.defaults = defaults or {}
         if not isinstance(values, dict):
             raise SettingsError(f"{path.rstrip('.') or 'settings'} is not an object")
         self.values = values
@@ -36,9 +69,12 @@
         return self.values.get(key) is not None
 
     def _get(self, key: str, kinds: tuple[type, ...], what: str) -> Any:
-        if key not in self.values:
+        if key in self.values:
+            value = self.values[key]
+        elif key in self.defaults:
+            value = self.defaults[key]
+        else:
             raise SettingsError(f"setting {self.path}{key} is missing")
-        value = self.values[key]
         if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
             raise SettingsError(f"setting {self.path}{key} is not {what}")
         return value
@@ -64,12 +100,13 @@
     def micros(self, key: str) -> int:
         return self.whole(key) // 1000
 
-    def part(self, key: str) -> _Reader:
-        return _Reader(self._get(key, (dict,), "an object"), f"{self.path}{key}.")
+    def part(self, key: str, defaults: dict[str, Any] | None = None) -> _Reader:
+        values = self._get(key, (dict,), "an object")
+        return _Reader(values, f"{self.path}{key}.", defaults or self.defaults.get(key))
 
-    def parts(self, key: str) -> list[_Reader]:
+    def parts(self, key: str, defaults: dict[str, Any] | None = None) -> list[_Reader]:
         items = self._get(key, (list,), "a list")
-        return [_Reader(item, f"{self.path}{key}[{i}].") for i, item in enumerate(items)]
+        return [_Reader(item, f"{self.path}{key}[{i}].", defaults) for i, item in enumerate(items)]
 
 
 def _track(reader: _Reader) -> Track:
@@ -103,7 +140,7 @@
     return _settings(_Reader(_parsed(text, "settings")))
 
 
-def _settings(top: _Reader) -> Settings:
+def _settings(top: _Reader, track_defaults: dict[str, Any] | None = None) -> Settings:
     bounds, rules, reporting = top.part("bounds"), top.part("rules"), top.part("reporting")
     asked = top.word("discovery", {"ask": True, "push": False})
     return Settings(
@@ -112,7 +149,7 @@
         instances=max(1, top.whole("instances")),
         tick_us=top.micros("tick_ns"),
         zone=top.text("zone"),
-        tracks=[_track(reader) for reader in top.parts("tracks")],
+        tracks=[_track(reader) for reader in top.parts("tracks", track_defaults)],
         tenants=[_tenant(reader) for reader in top.parts("tenants")],
         beyond_share_payoff=top.number("beyond_share_payoff"),
         list_is_asked=asked,
@@ -180,11 +217,11 @@
     host, port = _address(top.text("listen"), "listen")
     if top.has("discovery"):
         _address(top.text("discovery"), "discovery")
-    settings = top.part("settings")
+    settings = top.part("settings", DEFAULTS)
     bounds = settings.part("bounds")
     sockets = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if top.has("limits") and top.part("limits").has("sockets"):
-        sockets = min(sockets, top.part("limits").whole("sockets"))
+    if top.has("limits") and (limits := top.part("limits")).has("sockets"):
+        sockets = min(sockets, limits.whole("sockets"))
     return NodeConfig(
         name=top.text("name") if top.has("name") else "node",
         host=host,
@@ -195,5 +232,5 @@
         known=top.part("known").values if top.has("known") else None,
         conn_idle_us=bounds.micros("conn_idle_ns"),
         connect_timeout_us=bounds.micros("connect_timeout_ns"),
-        settings=_settings(settings),
+        settings=_settings(settings, TRACK_DEFAULTS),
     )
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -86,8 +86,18 @@
         self.listener = await loop.create_server(self.server, sock=listening, backlog=ACCEPT_AT_ONCE)
         listening.listen(BACKLOG)
 
+    def begin_closing(self) -> None:
+        """Each answer now closes its connection; those between two requests are closed at once.
+
+        While the node still listens: a caller whose request crosses the close sends it again on a new one.
+        """
+        self.closing = True
+        for connection in self.server.connections:
+            if connection._request_count and not _is_busy(connection):
+                connection.force_close()
+
     def stop_listening(self) -> None:
-        """No new connections; those between requests are closed, the rest after their answer."""
+        """No new connections; those that never brought a request are closed, the rest after their answer."""
         if self.listener is not None:
             self.listener.close()
         for connection in self.server.connections:
@@ -128,7 +138,8 @@
         except web.HTTPRequestEntityTooLarge:
             return self._response(Answer(413), close=True)
         except BadCall as bad:
-            return self._response(Answer(bad.status, f"{bad}\n".encode()))
+            plain = (("Content-Type", "text/plain"),)
+            return self._response(Answer(bad.status, f"{bad}\n".encode(), plain))
         patience = self.tracks[call.track]
         return self._response(await self.live(call, patience if call.left_us is None else call.left_us))
 
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -90,7 +90,7 @@
     async def _drain(self) -> None:
         """Take what still comes, answer all in hand, close."""
         self._enter(Phase.DRAINING)
-        self.callers.closing = True
+        self.callers.begin_closing()
         await asyncio.sleep(STILL_ACCEPTING)
         self.callers.stop_listening()
         longest = max((track.patience_us for track in self.config.settings.tracks), default=0) / 1e6
--- /dev/null
+++ b/example/server.py
@@ -0,0 +1,32 @@
+"""Toy servers: `python example/server.py 9001 9002` listens on these ports of the loopback address."""
+
+import asyncio
+import sys
+
+from aiohttp import web
+
+
+async def start(port: int) -> None:
+    async def work(request: web.Request) -> web.Response:
+        await asyncio.sleep(0.05)
+        return web.Response(text=f"{request.method} {request.path} done by the server on port {port}\n")
+
+    app = web.Application()
+    app.router.add_route("*", "/{any:.*}", work)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    print(f"toy server on 127.0.0.1:{port}", flush=True)
+
+
+async def main() -> None:
+    for port in sys.argv[1:] or ("9001", "9002"):
+        await start(int(port))
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    try:
+        asyncio.run(main())
+    except KeyboardInterrupt:
+        pass
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -311,21 +311,23 @@
         await serve_well(seen, reader, writer)
 
     async def test_all_in_hand_and_all_that_still_comes_is_answered(self) -> None:
-        idle = await self.open()
-        self.assertEqual(len(self.server.seen), 0)
+        silent, idle = await self.open(), await self.open()
+        idle.raw(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+        await idle.answer()
         self.caller.send()
         await until(lambda: len(self.server.seen) == 1)
         self.process.send_signal(signal.SIGTERM)
-        probe = await self.open()
         ready = 200
         while ready == 200:
+            probe = await self.open()
             probe.raw(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
             ready, seen = await probe.answer()
         self.assertEqual((ready, seen.fields.get("connection")), (503, "close"))
+        self.assertEqual(await idle.at_end(), b"")
         late = await self.open()
         status, seen = await late.ask()
         self.assertEqual((status, seen.fields.get("connection")), (200, "close"))
-        self.assertEqual(await idle.at_end(), b"")
+        self.assertEqual(await silent.at_end(), b"")
         status, seen = await self.caller.answer()
         self.assertEqual((status, seen.body, seen.fields.get("connection")), (200, b"done", "close"))
         while self.process.poll() is None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,7 @@
 
 from coraldeal.__main__ import main
 from coraldeal.config import SettingsError, read_node_config
-from coraldeal.interface import Condition, Outcome
+from coraldeal.interface import Condition, Effect, Outcome
 from coraldeal.logs import KeyValueFormatter
 from coraldeal.net import wire
 from tests.standins import SETTINGS
@@ -196,3 +196,14 @@
         self.assertRegex(
             line, r'^time=\S+Z level=info name=a.b event="watch over" why="it \'ended\'" version=4$'
         )
+
+
+class Example(unittest.TestCase):
+    def test_its_configuration_is_understood(self) -> None:
+        read = read_node_config(os.path.join(os.path.dirname(__file__), "..", "example", "config.json"), {})
+        self.assertEqual([track.name for track in read.settings.tracks], ["checkout", "browse"])
+        # What is not said to be repeatable is not repeated.
+        effects = [track.effect for track in read.settings.tracks]
+        self.assertEqual(effects, [Effect.IRREVERSIBLE, Effect.REDOABLE])
+        known = wire.read_list(read.known, offset_us=0).servers
+        self.assertEqual([listed.address for listed in known], ["127.0.0.1:9001", "127.0.0.1:9002"])
