--- a/example/server.py
+++ b/example/server.py
@@ -1,6 +1,7 @@
 """Toy servers: `python example/server.py 9001 9002` listens on these ports of the loopback address."""
 
 import asyncio
+import contextlib
 import sys
 
 from aiohttp import web
@@ -26,7 +27,5 @@
 
 
 if __name__ == "__main__":
-    try:
+    with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(main())
-    except KeyboardInterrupt:
-        pass
