Only a connection that waits for a request is idle: read requests are no longer lost for room

The cause: between the reading of a request and the start of its handler aiohttp's _request_in_progress and _messages both say idle (callers.py, _is_busy). Its _waiter alone tells that a connection waits. begin_closing and stop_listening at SIGTERM used the same test.

The reserve of descriptors is a quarter of a small limit.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -21,8 +21,10 @@
 BODY_MOST = 64 * 1024
 # Connections taken in one turn of the loop, so that the reserve of descriptors covers a rush, and how many
 # the system holds ready meanwhile.
-ACCEPT_AT_ONCE = 32
+ACCEPT_AT_ONCE = 16
 BACKLOG = 1024
+# After how many seconds a connection that never brought a request may be given up.
+SILENT_LONG = 5.0
 
 
 class _Server(web.Server):
@@ -93,7 +95,7 @@
         """
         self.closing = True
         for connection in self.server.connections:
-            if connection._request_count and not _is_busy(connection):
+            if connection._request_count and _is_idle(connection):
                 connection.force_close()
 
     def stop_listening(self) -> None:
@@ -101,7 +103,7 @@
         if self.listener is not None:
             self.listener.close()
         for connection in self.server.connections:
-            if not _is_busy(connection):
+            if _is_idle(connection):
                 connection.force_close()
 
     async def close(self) -> None:
@@ -112,14 +114,20 @@
         return len(self.server._connections)
 
     def close_one_idle(self) -> bool:
-        """Give up a connection between two requests, or else the oldest that never brought one."""
+        """Give up a connection between two requests, or else one that has brought none for long.
+
+        What a new connection brings may be on its way and counts as taken: it is read, and refused if need be.
+        """
+        now = asyncio.get_running_loop().time()
         silent = None
         for connection in self.server._connections:
-            if not _is_busy(connection):
+            if _is_idle(connection):
                 if connection._request_count:
                     connection.force_close()
                     return True
-                silent = silent or connection
+                opened = connection._next_keepalive_close_time - connection.keepalive_timeout
+                if now - opened > SILENT_LONG:
+                    silent = silent or connection
         if silent is not None:
             silent.force_close()
         return silent is not None
@@ -150,6 +158,10 @@
         return response
 
 
-def _is_busy(connection: RequestHandler) -> bool:
-    """Whether a request is being answered on this connection or waits there."""
-    return connection._request_in_progress or bool(connection._messages)
+def _is_idle(connection: RequestHandler) -> bool:
+    """Whether the connection waits for a request and has none, read or half answered.
+
+    Only the waiting itself tells: between a request's reading and the start of its handler nothing else does,
+    and closing it then would lose the request.
+    """
+    return connection._waiter is not None and not connection._waiter.done()
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-# Descriptors kept for discovery, probes, logs and a rush of callers.
+# Descriptors kept for discovery, probes, logs and a rush of callers: so many, or a quarter of a small limit.
 RESERVE = 96
 # For how long after SIGTERM new connections may still come.
 STILL_ACCEPTING = 0.55
@@ -51,7 +51,7 @@
         self.config = config
         self.phase = Phase.STARTING
         self.ending = asyncio.Event()
-        self.limit = max(RESERVE, config.sockets - RESERVE)
+        self.limit = config.sockets - min(RESERVE, config.sockets // 4)
         settings = config.settings
         self.servers = Servers(clock, config.conn_idle_us, config.connect_timeout_us, self._make_room)
         self.inquiries = Inquiries(self.servers)
