Bodies that break or stop half-way are answered 400 and 408

Seen in a test: a broken chunk was answered 500 with a trace, and a body that stopped half-way held its task and descriptor for good (callers.py, _answer).

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
@@ -19,6 +19,8 @@
 log = logging.getLogger(__name__)
 
 BODY_MOST = 64 * 1024
+# For how many seconds a body may keep coming: a caller that stops half-way must not hold a descriptor for good.
+BODY_WAIT = 10.0
 # Connections taken in one turn of the loop, so that the reserve of descriptors covers a rush, and how many
 # the system holds ready meanwhile.
 ACCEPT_AT_ONCE = 16
@@ -116,7 +118,7 @@
     def close_one_idle(self) -> bool:
         """Give up a connection between two requests, or else one that has brought none for long.
 
-        What a new connection brings may be on its way and counts as taken: it is read, and refused if need be.
+        What a new connection brings may be on its way and counts as taken: it is read, refused if need be.
         """
         now = asyncio.get_running_loop().time()
         silent = None
@@ -140,11 +142,16 @@
             # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
             return self._response(Answer(503), close=True)
         try:
-            body = await request.read()
+            async with asyncio.timeout(BODY_WAIT):
+                body = await request.read()
             raw = request.raw_headers
             call = read_call(request.method, request.raw_path, request.headers, raw, body, self.tracks)
         except web.HTTPRequestEntityTooLarge:
             return self._response(Answer(413), close=True)
+        except TimeoutError:
+            return self._response(Answer(408), close=True)
+        except (web.RequestPayloadError, HttpProcessingError):
+            return self._response(Answer(400), close=True)
         except BadCall as bad:
             plain = (("Content-Type", "text/plain"),)
             return self._response(Answer(bad.status, f"{bad}\n".encode(), plain))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -102,9 +102,11 @@
             (400, head + b"Req-Deadline: soon\r\n\r\n"),
             (400, b"GET /read HTTP/1.1\r\nX: " + b"y" * 20_000 + b"\r\n\r\n"),
             (404, b"GET /nothing HTTP/1.1\r\nHost: n\r\n\r\n"),
+            (400, head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
+            (408, head + b"Content-Length: 10\r\n\r\nhalf"),
             (413, head + b"Content-Length: 70000\r\n\r\n" + bytes(70_000)),
         ):
-            with self.subTest(data=data[:40]):
+            with self.subTest(data=data[-40:]), mock.patch("coraldeal.net.callers.BODY_WAIT", 0.1):
                 caller = await node.caller()
                 caller.raw(data)
                 self.assertEqual((await caller.answer())[0], status)
