--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -19,7 +19,7 @@
 log = logging.getLogger(__name__)
 
 BODY_MOST = 64 * 1024
-# For how many seconds a body may keep coming: a caller that stops half-way must not hold a descriptor for good.
+# For how many seconds a body may keep coming: one that stops half-way must not hold a descriptor for good.
 BODY_WAIT = 10.0
 # Connections taken in one turn of the loop, so that the reserve of descriptors covers a rush, and how many
 # the system holds ready meanwhile.
