--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -210,7 +210,13 @@
             values = _parsed(file.read(), "the contents")
     except (OSError, UnicodeDecodeError, SettingsError) as error:
         raise SettingsError(f"configuration {path}: {error}") from None
+    return node_config(values, env)
+
+
+def node_config(values: Any, env: Mapping[str, str]) -> NodeConfig:
+    """A configuration already parsed, checked and given its defaults."""
     if isinstance(values, dict):
+        values = dict(values)
         told = {key: env.get(f"PROXY_{key.upper()}") for key in ("name", "listen", "discovery")}
         values.update({key: value for key, value in told.items() if value})
     top = _Reader(values)
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -66,7 +67,7 @@
     def __init__(
         self,
         tracks: dict[str, int],
-        live: Callable[[Call, int], Awaitable[Answer]],
+        live: Callable[[Call, int, int], Awaitable[Answer]],
         is_ready: Callable[[], bool],
         is_crowded: Callable[[], bool],
     ) -> None:
@@ -136,7 +137,7 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         """From a request's first byte to the last of its answer."""
-        if request.path == READY_PATH:
+        if request.raw_path == READY_PATH:
             return self._response(Answer(200 if self.is_ready() else 503))
         if self.is_crowded():
             # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
@@ -155,8 +156,8 @@
         except BadCall as bad:
             plain = (("Content-Type", "text/plain"),)
             return self._response(Answer(bad.status, f"{bad}\n".encode(), plain))
-        patience = self.tracks[call.track]
-        return self._response(await self.live(call, patience if call.left_us is None else call.left_us))
+        patience = self.tracks[call.track] if call.left_us is None else call.left_us
+        return self._response(await self.live(call, patience, _unread_us(request)))
 
     def _response(self, answer: Answer, close: bool = False) -> web.Response:
         response = web.Response(status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers))
@@ -165,6 +166,20 @@
         return response
 
 
+def _unread_us(request: web.BaseRequest) -> int:
+    """How long the request's last byte lay here unread.
+
+    Patience runs from the sending: a node that was held up for a while must not answer as much too late.
+    """
+    transport = request.transport
+    if transport is None or not hasattr(socket, "TCP_INFO"):
+        return 0
+    connection = transport.get_extra_info("socket")
+    # struct tcp_info: tcpi_last_data_recv, milliseconds since data last came, is at byte 52.
+    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
+    return int.from_bytes(info[52:56], sys.byteorder) * 1000
+
+
 def _is_idle(connection: RequestHandler) -> bool:
     """Whether the connection waits for a request and has none, read or half answered.
 
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -56,8 +56,12 @@
         self.next_name = 0
         self.balancer: Balancer | None = None
 
-    async def live(self, call: Call, left_us: int) -> Answer:
-        """One inquiry, from its arrival to its final answer. The task is cancelled when the client leaves."""
+    async def live(self, call: Call, left_us: int, unread_us: int = 0) -> Answer:
+        """One inquiry, from its arrival to its final answer. The task is cancelled when the client leaves.
+
+        `unread_us` is how long it lay here before. The module is not told: it takes a try with less time left
+        than usual for a later one, and would turn all of them away after each short stand-still of the node.
+        """
         balancer = self.balancer
         assert balancer is not None
         loop = asyncio.get_running_loop()
@@ -65,8 +69,9 @@
         self.next_name += 1
         inquiry = self.in_hand[name] = Inquiry(name, loop)
         try:
-            # The module answers before the patience ends; the time-out guards against a day when it does not.
-            async with asyncio.timeout(left_us / 1e6):
+            # The module answers before the patience ends. The time-out guards against a day when it does not,
+            # or when so much of the patience was over before that it does so too late.
+            async with asyncio.timeout((left_us - unread_us) / 1e6):
                 balancer.inquiry_arrived(name, call.track, call.tenant, left_us, call.repeat)
                 while True:
                     choice = await inquiry.choice
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,58 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
 
-from coraldeal.config import NodeConfig, read_settings
+from coraldeal.config import NodeConfig, node_config
 from coraldeal.net.node import Node
 
 SETTINGS: dict[str, Any] = {
-    "layer": 0,
-    "instances": 1,
-    "self_index": 0,
-    "tick_ns": 1_000_000,
     "zone": "z",
     "discovery": "ask",
     "tracks": [
         {
             "name": name,
             "effect": effect,
-            "group": "all",
-            "window_ns": 2_000_000_000,
-            "expected_time_ns": 1_000_000_000,
-            "patience_ns": 2_000_000_000,
             "payoff": payoff,
-            "late_payoff": 0.0,
+            "expected_time_ns": 10**9,
+            "patience_ns": 2 * 10**9,
         }
         for name, effect, payoff in (
             ("read", "retryable", 5.0),
             ("write", "fragile", 5.0),
-            ("low", "dedup", 1.0),
+            ("low", "retryable", 1.0),
         )
     ],
-    "tenants": [],
-    "beyond_share_payoff": 0.1,
-    "bounds": {
-        "max_trips": 3,
-        "cancel": True,
-        "probing": False,
-        "retry_after": True,
-        "max_retry_after_ns": 1_000_000_000,
-        "conn_idle_ns": 2_000_000_000,
-        "connect_timeout_ns": 200_000_000,
-    },
-    "rules": {
-        "ask_every_ns": 1_000_000_000,
-        "cold_from": 0.3,
-        "warm_after_ns": 1_000_000_000,
-        "fall_multiple": 3.0,
-        "fall_ns": 1_000_000_000,
-    },
-    "tariffs": {"probe": 1.0},
-    "reporting": {"fields": []},
+    "bounds": {"conn_idle_ns": 2 * 10**9},
+    "rules": {"ask_every_ns": 10**9},
 }
 
 Played = Callable[["Seen", asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -196,19 +170,15 @@
     sockets: int = 1024,
     bounds: dict[str, Any] | None = None,
 ) -> NodeConfig:
-    told = {**SETTINGS, "discovery": "push" if pushed else "ask", "bounds": bounds or SETTINGS["bounds"]}
-    return NodeConfig(
-        name="n0",
-        host="127.0.0.1",
-        port=0,
-        discovery=discovery,
-        seed=7,
-        sockets=sockets,
-        known=known,
-        conn_idle_us=2_000_000,
-        connect_timeout_us=200_000,
-        settings=read_settings(json.dumps(told)),
-    )
+    settings = {**SETTINGS, "discovery": "push" if pushed else "ask", "bounds": bounds or SETTINGS["bounds"]}
+    told = {
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "known": known,
+        "seed": "7",
+        "settings": settings,
+    }
+    return node_config({**told, "limits": {"sockets": sockets}}, {})
 
 
 class RunningNode:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 
 from coraldeal.interface import Outcome
 from coraldeal.net import discovery as discovery_module
+from coraldeal.net.host import clock
 from tests.standins import (
     SETTINGS,
     Caller,
@@ -82,7 +84,7 @@
 
     async def test_client_gone_while_trips_may_not_be_stopped(self) -> None:
         server = await self.stand_in(never_answer)
-        bounds = {**SETTINGS["bounds"], "cancel": False}
+        bounds = {"cancel": False}
         running = await self.node(server, bounds=bounds)
         node, caller = running.node, await running.caller()
         caller.send("read", b"", "400m")
@@ -146,6 +148,27 @@
             self.assertEqual((await caller.ask("read", b"", "50m"))[0], 504)
         self.assertEqual(node.node.inquiries.in_hand, {})
 
+    async def test_patience_runs_on_while_a_request_lies_unread(self) -> None:
+        node = await self.node(await self.stand_in())
+        caller = await node.caller()
+        self.assertEqual((await caller.ask())[0], 200)
+        live = node.node.callers.live
+        with mock.patch.object(node.node.callers, "live", wraps=live) as lived:
+            caller.send("read", b"", "800m")
+            time.sleep(0.2)  # the node's loop stands still, the request is there
+            await caller.answer()
+        _, left_us, unread_us = lived.call_args.args
+        self.assertEqual(left_us, 800_000)
+        self.assertGreater(unread_us, 180_000)
+        call = lived.call_args.args[0]
+        with (
+            mock.patch.object(node.node.balancer, "inquiry_arrived"),
+            self.assertLogs("coraldeal.net.inquiry", "WARNING"),
+        ):
+            before = clock()
+            self.assertEqual((await live(call, 400_000, 350_000)).status, 504)
+        self.assertLess(clock() - before, 300_000)
+
     async def test_nothing_comes_back_inside_the_modules_own_call(self) -> None:
         refusing = await self.stand_in()
         refusing.stop()
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -38,7 +38,7 @@
 class Trips(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.opened = 0
-        self.servers = Servers(clock, 2 * SECOND, SECOND // 5, self.count)
+        self.servers = Servers(clock, 3 * SECOND, SECOND // 5, self.count)
         self.addAsyncCleanup(self.servers.close)
 
     def count(self) -> None:
@@ -207,8 +207,8 @@
         await self.trip()
         self.assertEqual(ports[2], ports[1], "the connection used last goes first")
         self.assertEqual(self.servers.pool.held, 2)
-        # The other end would close after 2 s.
-        await until(lambda: server.closed == 2, 1.9)
+        # The other end would close after 3 s.
+        await until(lambda: server.closed == 2, 2.9)
 
     async def test_what_came_unasked_is_no_answer(self) -> None:
         async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,12 +7,11 @@
 import json
 import logging
 import os
-import tempfile
 import unittest
 from typing import Any
 
 from coraldeal.__main__ import main
-from coraldeal.config import SettingsError, read_node_config
+from coraldeal.config import SettingsError, node_config, read_node_config
 from coraldeal.interface import Condition, Effect, Outcome
 from coraldeal.logs import KeyValueFormatter
 from coraldeal.net import wire
@@ -131,11 +130,7 @@
 class Configuration(unittest.TestCase):
     def read(self, env: dict[str, str] | None = None, **changes: Any) -> Any:
         values = {"listen": "127.0.0.1:80", "settings": SETTINGS, **changes}
-        with tempfile.TemporaryDirectory() as folder:
-            path = os.path.join(folder, "config.json")
-            with open(path, "w") as file:
-                json.dump({key: value for key, value in values.items() if value != "left out"}, file)
-            return read_node_config(path, env or {})
+        return node_config({key: value for key, value in values.items() if value != "left out"}, env or {})
 
     def test_defaults(self) -> None:
         read = self.read()
