An unknown state in the list means nothing new is sent; a faulty known list is named at start

By reading: one entry with a state not known to the node ended the watch and would have ended each next one (wire.py, read_list), so the list would have stood still. Such an entry now counts as draining. A known list that is none ended the start with a trace; the message now names the key.

--- a/coraldeal/__main__.py
+++ b/coraldeal/__main__.py
@@ -10,12 +10,19 @@
 from coraldeal import __version__
 from coraldeal.config import NodeConfig, SettingsError, read_node_config
 from coraldeal.logs import set_up
+from coraldeal.net.wire import read_list
 
 
 def _read(args: argparse.Namespace) -> NodeConfig:
     if not args.config:
         raise SettingsError("no configuration: give --config FILE or set PROXY_CONFIG")
-    return read_node_config(args.config, os.environ)
+    config = read_node_config(args.config, os.environ)
+    if config.known is not None:
+        try:
+            read_list(config.known, offset_us=0)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise SettingsError(f"setting known is not a list of servers: {error!r}") from None
+    return config
 
 
 def serve(args: argparse.Namespace) -> int:
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -77,7 +77,7 @@
     def _told(self, line: bytes) -> None:
         try:
             told = self.read(line)
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             # The list held stays, and the whole of it is asked for next: changes may have been missed.
             self.version = -1
             raise aiohttp.ClientPayloadError(f"unreadable, {type(error).__name__}: {error}") from None
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -194,9 +194,10 @@
         started = int(item.get("startedAtMs") or 0)
         entry = Entry(
             server=str(item["instanceId"]),
-            zone=str(item["zone"]),
-            cell=int(item["cell"]),
-            condition=CONDITIONS[item["lifecycle"]],
+            zone=str(item.get("zone") or ""),
+            cell=int(item.get("cell") or 0),
+            # A word not known here must not end the watch; what is not said to be ready gets nothing new.
+            condition=CONDITIONS.get(item["lifecycle"], Condition.DRAINING),
             born_us=max(1, started * 1000 - offset_us) if started else 0,
         )
         servers.append(Listed(entry, str(item.get("hostPort") or "")))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+import tempfile
 import unittest
 from typing import Any
 
@@ -123,6 +124,9 @@
         self.assertEqual((first.server, first.zone, first.cell), ("s", "a", 3))
         self.assertIs(first.condition, Condition.DRAINING)
         self.assertEqual((first.born_us, second.born_us), (3_000_000, 0))
+        # A word that is not known is no leave to send.
+        told = wire.read_list({**values, "instances": [{**item, "lifecycle": "Resting"}]}, offset_us=0)
+        self.assertIs(told.servers[0].entry.condition, Condition.DRAINING)
         # Younger than the clock's beginning is not long ago.
         self.assertEqual(wire.read_list(values, offset_us=9_000_000).servers[0].entry.born_us, 1)
 
@@ -177,6 +181,14 @@
     def test_version(self) -> None:
         self.assertRegex(self.run_main("version")[1], r"^coraldeal \d+\.\d+")
 
+    def test_a_known_list_that_is_none(self) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump({"listen": "127.0.0.1:80", "known": {"generation": 1}, "settings": SETTINGS}, file)
+            file.flush()
+            status, text = self.run_main("check", "--config", file.name)
+        self.assertEqual(status, 2)
+        self.assertIn("setting known ", text)
+
     def test_a_file_that_is_not_there(self) -> None:
         status, text = self.run_main("check", "--config", "/nowhere/config.json")
         self.assertEqual(status, 2)
