Callers that connect and send nothing cannot use up the reserve of descriptors

Seen in a test: 200 connections without a request were all kept by a node of 140 descriptors, since those under 5 s old were never given up (callers.py, close_one_idle); the accept would have failed next. With half the reserve used up the oldest of them goes.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -116,10 +116,11 @@
     def held(self) -> int:
         return len(self.server._connections)
 
-    def close_one_idle(self) -> bool:
+    def close_one_idle(self, pressed: bool) -> bool:
         """Give up a connection between two requests, or else one that has brought none for long.
 
         What a new connection brings may be on its way and counts as taken: it is read, refused if need be.
+        Only when pressed is the oldest of these given up: no descriptor left for accepting would cost more.
         """
         now = asyncio.get_running_loop().time()
         silent = None
@@ -129,7 +130,7 @@
                     connection.force_close()
                     return True
                 opened = connection._next_keepalive_close_time - connection.keepalive_timeout
-                if now - opened > SILENT_LONG:
+                if pressed or now - opened > SILENT_LONG:
                     silent = silent or connection
         if silent is not None:
             silent.force_close()
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -128,7 +128,10 @@
     def _make_room(self) -> None:
         """Before a connection is opened and after one was taken: idle ones go first."""
         over = self.callers.held + self.servers.pool.held - self.limit
-        while over > 0 and (self.servers.pool.close_one_idle() or self.callers.close_one_idle()):
+        half_reserve = (self.config.sockets - self.limit) // 2
+        while over > 0 and (
+            self.servers.pool.close_one_idle() or self.callers.close_one_idle(pressed=over > half_reserve)
+        ):
             over -= 1
 
     # The list.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -222,6 +222,13 @@
         await until(lambda: node.node.callers.held + node.node.servers.pool.held <= 105)
         self.assertEqual(await callers[0].at_end(), b"")
 
+    async def test_callers_that_send_nothing_cannot_use_up_the_reserve(self) -> None:
+        node = await self.node(await self.stand_in(), sockets=140)
+        for _ in range(200):
+            await node.caller()
+        self.assertLess(node.node.callers.held, 130)
+        self.assertEqual((await (await node.caller()).ask())[0], 200)
+
     async def test_beyond_the_limit_an_inquiry_is_refused_not_lost(self) -> None:
         server = await self.stand_in(never_answer)
         node = await self.node(server, sockets=140)
