--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -97,16 +97,17 @@
         While the node still listens: a caller whose request crosses the close sends it again on a new one.
         """
         self.closing = True
-        for connection in self.server.connections:
-            if connection._request_count and _is_idle(connection):
-                connection.force_close()
+        self._close_idle(silent_too=False)
 
     def stop_listening(self) -> None:
         """No new connections; those that never brought a request are closed, the rest after their answer."""
         if self.listener is not None:
             self.listener.close()
+        self._close_idle(silent_too=True)
+
+    def _close_idle(self, silent_too: bool) -> None:
         for connection in self.server.connections:
-            if _is_idle(connection):
+            if _is_idle(connection) and (silent_too or connection._request_count):
                 connection.force_close()
 
     async def close(self) -> None:
