--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 import sys
 from collections.abc import Awaitable, Callable
@@ -17,8 +16,6 @@
 
 from coraldeal.net.wire import READY_PATH, Answer, BadCall, Call, read_call
 
-log = logging.getLogger(__name__)
-
 BODY_MOST = 64 * 1024
 # For how many seconds a body may keep coming: one that stops half-way must not hold a descriptor for good.
 BODY_WAIT = 10.0
@@ -33,7 +30,11 @@
 class _Server(web.Server):
     """aiohttp's low-level server, telling of each new connection."""
 
-    def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]) -> None:
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        on_connection: Callable[[], None],
+    ) -> None:
         super().__init__(
             handler,
             request_factory=self._request,
@@ -42,7 +43,7 @@
             auto_decompress=False,
             lingering_time=0.5,
         )
-        self.on_connection: Callable[[], None] = lambda: None
+        self.on_connection = on_connection
 
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
@@ -70,6 +71,7 @@
         live: Callable[[Call, int, int], Awaitable[Answer]],
         is_ready: Callable[[], bool],
         is_crowded: Callable[[], bool],
+        make_room: Callable[[], None],
     ) -> None:
         # The patience of each track.
         self.tracks = tracks
@@ -78,11 +80,10 @@
         self.is_crowded = is_crowded
         # Set when the node is to stop: each answer then closes its connection.
         self.closing = False
-        self.server = _Server(self._answer)
+        self.server = _Server(self._answer, make_room)
         self.listener: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int, on_connection: Callable[[], None]) -> None:
-        self.server.on_connection = on_connection
+    async def listen(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listening = socket.socket(family, socket.SOCK_STREAM)
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/coraldeal/net/host.py
+++ b/coraldeal/net/host.py
@@ -28,12 +28,14 @@
 class LoopHost:
     """Carries out what the decisions ask for."""
 
-    def __init__(self, inquiries: Inquiries, servers: Servers, with_reports: bool) -> None:
+    def __init__(
+        self, inquiries: Inquiries, servers: Servers, discovery: Discovery, with_reports: bool
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.inquiries = inquiries
         self.servers = servers
+        self.discovery = discovery
         self.with_reports = with_reports
-        self.discovery: Discovery | None = None
         self.balancer: Balancer | None = None
         # Probes under way; the loop itself holds tasks only weakly.
         self.probes: dict[asyncio.Task[TripEnd], ServerId] = {}
@@ -65,8 +67,7 @@
         self.loop.call_later(after_us / 1e6, self._alarm, token)
 
     def follow_list(self) -> None:
-        if self.discovery is not None:
-            self.discovery.follow()
+        self.discovery.follow()
 
     def log(self, text: str) -> None:
         log.info(text)
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -56,7 +56,7 @@
         self.next_name = 0
         self.balancer: Balancer | None = None
 
-    async def live(self, call: Call, left_us: int, unread_us: int = 0) -> Answer:
+    async def live(self, call: Call, left_us: int, unread_us: int) -> Answer:
         """One inquiry, from its arrival to its final answer. The task is cancelled when the client leaves.
 
         `unread_us` is how long it lay here before. The module is not told: it takes a try with less time left
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -51,18 +51,19 @@
         self.config = config
         self.phase = Phase.STARTING
         self.ending = asyncio.Event()
-        self.limit = config.sockets - min(RESERVE, config.sockets // 4)
+        self.reserve = min(RESERVE, config.sockets // 4)
+        self.limit = config.sockets - self.reserve
         settings = config.settings
         self.servers = Servers(clock, config.conn_idle_us, config.connect_timeout_us, self._make_room)
         self.inquiries = Inquiries(self.servers)
         patience = {track.name: track.patience_us for track in settings.tracks}
-        self.callers = Callers(patience, self.inquiries.live, self._is_ready, self._is_crowded)
-        self.host = LoopHost(self.inquiries, self.servers, bool(settings.report_fields))
+        live = self.inquiries.live
+        self.callers = Callers(patience, live, self._is_ready, self._is_crowded, self._make_room)
         # Unix time less this is the node's clock.
         self.offset_us = time.time_ns() // 1000 - clock()
         read = partial(read_list, offset_us=self.offset_us)
         self.discovery = Discovery(config.discovery, read, self._listed, self._list_failed)
-        self.host.discovery = self.discovery
+        self.host = LoopHost(self.inquiries, self.servers, self.discovery, bool(settings.report_fields))
         self.balancer = Balancer(self.host, settings, config.seed)
         self.host.balancer = self.inquiries.balancer = self.balancer
         self.rewatch_wait = REWATCH_LEAST
@@ -79,7 +80,7 @@
             self._listed(known, ListKind.REMEMBERED)
         if not self.config.settings.list_is_asked:
             self.discovery.follow()
-        await self.callers.listen(self.config.host, self.config.port, self._make_room)
+        await self.callers.listen(self.config.host, self.config.port)
         self._watch_lag(loop.time())
         # What was made so far stays: it need not be looked through again at each collection.
         gc.freeze()
@@ -128,9 +129,9 @@
     def _make_room(self) -> None:
         """Before a connection is opened and after one was taken: idle ones go first."""
         over = self.callers.held + self.servers.pool.held - self.limit
-        half_reserve = (self.config.sockets - self.limit) // 2
         while over > 0 and (
-            self.servers.pool.close_one_idle() or self.callers.close_one_idle(pressed=over > half_reserve)
+            self.servers.pool.close_one_idle()
+            or self.callers.close_one_idle(pressed=over > self.reserve // 2)
         ):
             over -= 1
 
