SIGHUP reads the configuration anew and moves the watch instead of ending the node

No handler was set (net/node.py, run), so the signal's default ended the process; ruled out: nothing else in the logs before the end.

Now the file is read again (config.py stays the one reader), the watch goes to the new address at once and asks for the whole list, the list held stays meanwhile. PROXY_DISCOVERY is the start's and does not overrule a replaced file. A file that cannot be used is logged with its key and changes nothing. Limits on descriptors follow; other keys are named as needing a restart.

--- a/coraldeal/__main__.py
+++ b/coraldeal/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import sys
+from collections.abc import Mapping
 
 from coraldeal import __version__
 from coraldeal.config import NodeConfig, SettingsError, read_node_config
@@ -13,10 +14,10 @@
 from coraldeal.net.wire import read_list
 
 
-def _read(args: argparse.Namespace) -> NodeConfig:
+def _read(args: argparse.Namespace, env: Mapping[str, str] = os.environ) -> NodeConfig:
     if not args.config:
         raise SettingsError("no configuration: give --config FILE or set PROXY_CONFIG")
-    config = read_node_config(args.config, os.environ)
+    config = read_node_config(args.config, env)
     if config.known is not None:
         try:
             read_list(config.known, offset_us=0)
@@ -32,8 +33,12 @@
     set_up(args.log_level)
     config = _read(args)
 
+    def read_anew() -> NodeConfig:
+        # A file replaced since the start knows better than that start's environment where the list is.
+        return _read(args, {key: value for key, value in os.environ.items() if key != "PROXY_DISCOVERY"})
+
     async def run() -> None:
-        await Node(config).run()
+        await Node(config, read_anew).run()
 
     asyncio.run(run())
     return 0
--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -204,7 +204,10 @@
 
 
 def read_node_config(path: str, env: Mapping[str, str]) -> NodeConfig:
-    """The configuration file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY overrule it where they are set."""
+    """The configuration file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY overrule it where they are set.
+
+    They tell of the start: of a file that was replaced since, `env` without PROXY_DISCOVERY is to be given.
+    """
     try:
         with open(path, encoding="utf-8") as file:
             values = _parsed(file.read(), "the contents")
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -40,6 +40,18 @@
         if self.address is not None and (self.task is None or self.task.done()):
             self.task = asyncio.get_running_loop().create_task(self._watch())
 
+    def move(self, address: str | None) -> None:
+        """Watch another address from now on; the list held stays until that one has told its own.
+
+        Its versions need not count on from those of the old one, so the whole list is asked for.
+        """
+        self.address = address
+        self.version = -1
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        self.follow()
+
     async def close(self) -> None:
         if self.task is not None:
             self.task.cancel()
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -8,11 +8,13 @@
 import logging
 import signal
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from zlib import crc32
 
 from coraldeal.balance import Balancer
-from coraldeal.config import NodeConfig
+from coraldeal.config import NodeConfig, SettingsError
 from coraldeal.interface import ListKind
 from coraldeal.net.callers import Callers
 from coraldeal.net.discovery import Discovery
@@ -34,6 +36,9 @@
 # Waits before the watch is begun again where the list comes by itself.
 REWATCH_LEAST, REWATCH_MOST = 0.25, 4.0
 
+# What a configuration read anew can't change while the node runs.
+RESTART_KEYS = ("name", "host", "port", "conn_idle_us", "connect_timeout_us", "settings")
+
 
 class Phase(enum.Enum):
     """Where a node is in its life."""
@@ -47,12 +52,12 @@
 class Node:
     """Puts the parts together and leads them from start to end."""
 
-    def __init__(self, config: NodeConfig) -> None:
+    def __init__(self, config: NodeConfig, read_anew: Callable[[], NodeConfig] | None = None) -> None:
         self.config = config
+        self.read_anew = read_anew
         self.phase = Phase.STARTING
         self.ending = asyncio.Event()
-        self.reserve = min(RESERVE, config.sockets // 4)
-        self.limit = config.sockets - self.reserve
+        self._share_out(config.sockets)
         settings = config.settings
         self.servers = Servers(clock, config.conn_idle_us, config.connect_timeout_us, self._make_room)
         self.inquiries = Inquiries(self.servers)
@@ -74,6 +79,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.ending.set)
+        # Guards against the end that SIGHUP is by default.
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.known is not None:
             known = read_list(self.config.known, self.offset_us)
             self.discovery.version = known.version
@@ -88,6 +95,25 @@
         await self.ending.wait()
         await self._drain()
 
+    def reload(self) -> None:
+        """SIGHUP: go by the configuration as it stands now; one that cannot be used changes nothing."""
+        if self.read_anew is None or self.phase is Phase.ENDED:
+            return
+        old = self.config
+        try:
+            new = self.read_anew()
+        except SettingsError as error:
+            log.error("configuration kept", extra={"pairs": {"why": error}})
+            return
+        self._share_out(new.sockets)
+        if new.discovery != old.discovery:
+            self.discovery.move(new.discovery)
+        # All else shapes what was made at the start.
+        waiting = [key for key in RESTART_KEYS if getattr(new, key) != getattr(old, key)]
+        self.config = replace(old, discovery=new.discovery, sockets=new.sockets)
+        pairs = {"discovery": new.discovery, "sockets": new.sockets, "needs_restart": ",".join(waiting)}
+        log.info("configuration read anew", extra={"pairs": pairs})
+
     async def _drain(self) -> None:
         """Take what still comes, answer all in hand, close."""
         self._enter(Phase.DRAINING)
@@ -122,6 +148,10 @@
 
     # Descriptors.
 
+    def _share_out(self, sockets: int) -> None:
+        self.reserve = min(RESERVE, sockets // 4)
+        self.limit = sockets - self.reserve
+
     def _is_crowded(self) -> bool:
         """Whether one more inquiry could want more descriptors than there are: each holds two at the most."""
         return 2 * len(self.inquiries.in_hand) >= self.limit
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,10 +11,12 @@
 import tempfile
 import time
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
+from coraldeal.config import SettingsError
 from coraldeal.interface import Outcome
 from coraldeal.net import discovery as discovery_module
 from coraldeal.net.host import clock
@@ -297,6 +299,27 @@
         self.assertEqual(discovery.seen[1].line, "GET /v1/endpoints?watch=1 HTTP/1.1")
         self.assertEqual(list(node.node.balancer.servers), ["s0"])
 
+    async def test_a_new_configuration_moves_the_watch_and_a_faulty_one_changes_nothing(self) -> None:
+        server, added = await self.stand_in(), await self.stand_in()
+        first = await self.discovery(server_list(1, False))
+        second = await self.discovery(server_list(1, True, entry("new", added.address)))
+        node = await self.node(server, discovery=first.address)
+        await until(lambda: len(first.seen) == 1)
+        anew = [SettingsError("setting seed is not text"), replace(node.told, discovery=second.address)]
+        with (
+            mock.patch.object(node.node, "read_anew", side_effect=anew),
+            self.assertLogs("coraldeal.net.node", "INFO") as logs,
+        ):
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: len(logs.output) == 1)
+            self.assertEqual((node.node.discovery.address, first.closed), (first.address, 0))
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: "new" in node.node.balancer.servers)
+        self.assertIn("setting seed", str(logs.records[0].__dict__["pairs"]))
+        self.assertEqual(second.seen[0].line, "GET /v1/endpoints?watch=1 HTTP/1.1")
+        await until(lambda: first.closed == 1)
+        self.assertEqual(len(first.seen), 1)
+
     async def test_a_list_that_is_pushed_is_watched_from_the_start_and_again(self) -> None:
         discovery = await self.discovery(server_list(2, False), hold=False)
         with mock.patch("coraldeal.net.node.REWATCH_LEAST", 0.01):
@@ -316,10 +339,10 @@
         self.port = int(free.address.rpartition(":")[2])
         free.stop()
         await free.server.wait_closed()
-        path = os.path.join(folder, "config.json")
+        path = self.path = Path(folder) / "config.json"
         known = server_list(1, True, entry("s0", self.server.address))
         told = {"listen": f"127.0.0.1:{self.port}", "known": known, "seed": "1", "settings": SETTINGS}
-        Path(path).write_text(json.dumps(told))
+        path.write_text(json.dumps(told))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "coraldeal", "serve", "--config", path], cwd=ROOT, stderr=subprocess.PIPE
         )
@@ -344,6 +367,11 @@
         await serve_well(seen, reader, writer)
 
     async def test_all_in_hand_and_all_that_still_comes_is_answered(self) -> None:
+        # Once for a file that is as it was, once for none: neither ends the program.
+        for text in (self.path.read_text(), "{"):
+            self.path.write_text(text)
+            self.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
         silent, idle = await self.open(), await self.open()
         idle.raw(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
         await idle.answer()
