Buckets open faster while calm and keep what is served; caps halve once for one trouble

One bad second (caps of 1 to 2, 43 holds ended) brought the rate from 120 to 13 a second; 0.2 a second of growth then needed 20 s to get back. Ruled out: loop lag (99th percentile of the node's own times 3 ms), descriptors, servers out of the rotation (none rested).

At fault in balance.py: _rose (steps as small when idle as at the limit), _sweep's floor (a tenth of arrivals whatever is served), _judge (each of several trips of one trouble halved the cap: 17 to 1), inquiry_arrived (a short deadline was taken for a later try though later tries are marked).

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -50,6 +50,11 @@
 FAR_BEHIND = 2.0
 # The longest rest.
 REST_MOST = 16 * SECOND
+# The largest step of the bucket's rate, and how many times as large its steps up are while a node is calm.
+RISE_MOST = 0.05
+CALM_RISE = 4
+# The part of what is served that is let in whatever fails.
+SERVED_PART = 0.8
 # The part of the bucket that traffic beyond a share may not use.
 RESERVE = 0.75
 # In the rotations of how many nodes a server should be.
@@ -110,6 +115,7 @@
         "cold_tokens",
         "credit",
         "fail_share",
+        "halved_at",
         "looks",
         "name",
         "pace",
@@ -127,6 +133,7 @@
         self.zone = entry.zone
         self.cell = entry.cell
         self.cap = cap
+        self.halved_at = 0
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
         self.fail_share = 0.0
         self.strikes = 0
@@ -226,7 +233,8 @@
         self.cold_from = settings.cold_from
         self.fall_multiple = settings.fall_multiple
         self.fall_us = settings.fall_us
-        # State of the instance.
+        # State of the instance. Whether clients were seen to mark later tries.
+        self.marked = False
         self.servers: dict[ServerId, Server] = {}
         self.width = 2
         self.ranked: list[Server] = []
@@ -253,8 +261,11 @@
         self.started = host.now
         self.metered = 0
         self.sent = 0
+        self.served = 0
         self.arrival_rate = 0.0
         self.send_rate = 0.0
+        # Of metered inquiries.
+        self.served_rate = 0.0
         self.rate = 1000 / SECOND
         self.rise = 0.01
         self.floor = 1 / SECOND
@@ -286,9 +297,12 @@
         useful = state.useful_us
         if self.front:
             usual = state.usual_left = state.usual_left or left_us
+            self.marked = self.marked or repeat
             if not repeat:
                 state.usual_left += (usual if left_us > usual else -usual) // 100
-            if abs(left_us - usual) > usual // 10:
+            # Where later tries are marked, a first try with little time left is a caller in a hurry: its time
+            # starts now. Taken for a later one, all traffic was turned away when callers cut their deadlines.
+            if repeat or (not self.marked and abs(left_us - usual) > usual // 10):
                 useful -= max(0, state.track.patience_us - left_us)
         inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
         self.inquiries[name] = inquiry
@@ -526,7 +540,9 @@
         """A send was served: a step up."""
         self.spare = min(1.0, self.spare + 0.4 * self.rise)
         if self.rate < 4 * self.arrival_rate:
-            self.rate *= 1 + self.rise
+            # With nothing held and quick answers there is room: without larger steps servers stood idle for
+            # twenty seconds after a bad one while most traffic was dropped.
+            self.rate *= 1 + (min(RISE_MOST, CALM_RISE * self.rise) if self.calm else self.rise)
 
     # The rotation.
 
@@ -704,6 +720,7 @@
             state.learn(latency, True)
             server.fail_share *= 0.8
             server.credit = min(4.0, server.credit + 0.1)
+            self.served += trip.inquiry.worth <= self.core_worth
             self._rose()
             # One answer says little, for inquiries differ: in time is a server whose answers of late were.
             self.pace += 0.1 * (latency / state.useful_us - self.pace)
@@ -731,7 +748,11 @@
                 # It was sent with too little time left for a usual answer: that is not the server's failure.
                 return
             lowest = server.cap == 1
-            server.cap = max(1, server.cap // 2)
+            if trip.sent_at > server.halved_at:
+                # Trips sent before the last halving tell of the same trouble: several at once would leave a
+                # cap of one where half of it was enough.
+                server.cap = max(1, server.cap // 2)
+                server.halved_at = now
             server.fail_share += 0.2 * (1 - server.fail_share)
             if lowest and server.fail_share > self.median_fail_share:
                 self._rest(server, now, outcome.value, 2 * self.calm_trip)
@@ -802,16 +823,20 @@
         weight = 0.5 if now - self.started < 2 * SECOND else 0.1
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
         self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
-        self.metered = self.sent = 0
+        self.served_rate += weight * (self.served / SWEEP - self.served_rate)
+        self.metered = self.sent = self.served = 0
         # The rate follows within seconds, whether answers are many or few: few of them take larger steps.
-        self.rise = min(0.05, max(0.005, 0.2 / (self.send_rate * SECOND + 1)))
+        self.rise = min(RISE_MOST, max(0.005, 0.2 / (self.send_rate * SECOND + 1)))
         # A drop deeper down wastes what the tiers above have done, so the floor there lets the usual traffic
         # pass. At the front it is half of what the tenants' shares promise: where servers choke or a hall is
         # lost there may be no more.
         self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
         if self.front:
             promise = min(self.promised, self.arrival_rate) / 2
-            self.floor = max(self.arrival_rate * 0.1, promise, 1 / SECOND / self.instances)
+            # Nor is less let in than was served a moment ago, the surer the more trips tell of it: holds that
+            # end in a row must not shut a bucket that others still pass well.
+            served = SERVED_PART * (1 - self.rise / RISE_MOST) * self.served_rate
+            self.floor = max(self.arrival_rate * 0.1, promise, served, 1 / SECOND / self.instances)
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
         for state in self.tracks.values():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -60,6 +60,7 @@
         self.wakes: list[tuple[int, int, str]] = []
         self.trips: dict[int, tuple[int, str, int]] = {}
         self.looks: list[str] = []
+        self.learned = 0
         self.balancer: Balancer | None = None
 
     # What the balancer may do.
@@ -165,7 +166,9 @@
     def do_learn(self, track: str, rounds: str, **o: str) -> None:
         """So many inquiries one after another, each answered after the time of the server that got it."""
         times = {name: micros(time) for names, time in o.items() for name in names.split(",")}
-        for number in range(10_000, 10_000 + int(rounds)):
+        for _ in range(int(rounds)):
+            self.learned += 1
+            number = 10_000 + self.learned
             self.do_inquiry(str(number), track)
             self.do_after(f"{times[self.trips[number][1]]}us")
             self.do_ends(str(number), "satisfied")
