Callers' heads, bodies and silences are bounded in time; ids in hand and double lengths are turned away

A battery of 41 odd requests against the node showed what passed: gzip before chunked, two Req-Ids, HTTP/2.0, upgrades; cut bodies and heads held on for over 3 s. Ruled out: both lengths, repeated, signed and huge ones were refused by the parser already (kept by a test).

net/callers.py: 2.5 s for a head or between requests, 2 s for a body, lengths over 64 KiB refused unread, silent callers go first when room is short, one line in ten seconds tells of all that was turned away, 4xx closes. net/inquiry.py: an id in hand is answered 409, the open one goes on.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -3,28 +3,60 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import sys
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import HttpProcessingError, RawRequestMessage
+from aiohttp.http import HttpProcessingError, HttpVersion10, HttpVersion11, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
-from coraldeal.net.wire import READY_PATH, Answer, BadCall, Call, read_call
+from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call
 
-BODY_MOST = 64 * 1024
-# For how many seconds a body may keep coming: one that stops half-way must not hold a descriptor for good.
-BODY_WAIT = 10.0
+log = logging.getLogger(__name__)
+
+# For how many seconds a connection may bring no whole head, and a body may keep coming: neither who says
+# nothing nor who stops half-way, nor one who has asked and stays, may hold a descriptor for long.
+QUIET_LONG = 2.5
+BODY_WAIT = 2.0
 # Connections taken in one turn of the loop, so that the reserve of descriptors covers a rush, and how many
 # the system holds ready meanwhile.
 ACCEPT_AT_ONCE = 16
 BACKLOG = 1024
-# After how many seconds a connection that never brought a request may be given up.
-SILENT_LONG = 5.0
+# After how many seconds a connection that never brought a request may be given up where room is short.
+SILENT_LONG = 0.5
+# How often requests turned away unread are told of, in seconds: a flood of them must not become one of lines.
+TELL_EVERY = 10.0
+# What may stand once in a head: readers that pick another copy would see another request.
+ONCE = ("Host", "Req-Id", "Req-Deadline", "Idempotency-Key", "Req-Retry", "Req-Owner")
+
+
+class _Connection(RequestHandler):
+    """A caller's connection, on which what can't be read is answered shortly and closed."""
+
+    def __init__(self, manager: _Server, **told: Any) -> None:
+        super().__init__(manager, **told)
+        self.turned_away = manager.turned_away
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """aiohttp would log a trace for each, which is what a flood is after."""
+        if status >= 500:
+            return super().handle_error(request, status, exc, message)
+        self.turned_away(status)
+        response = web.Response(status=status)
+        response.force_close()
+        return response
 
 
 class _Server(web.Server):
@@ -34,16 +66,22 @@
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         on_connection: Callable[[], None],
+        turned_away: Callable[[int], None],
     ) -> None:
-        super().__init__(
-            handler,
-            request_factory=self._request,
-            handler_cancellation=True,
+        super().__init__(handler, request_factory=self._request, handler_cancellation=True)
+        self.on_connection = on_connection
+        self.turned_away = turned_away
+
+    def __call__(self) -> RequestHandler:
+        return _Connection(
+            self,
+            loop=self._loop,
             access_log=None,
             auto_decompress=False,
-            lingering_time=0.5,
+            keepalive_timeout=QUIET_LONG,
+            # What is refused by its length is not read.
+            lingering_time=0,
         )
-        self.on_connection = on_connection
 
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
@@ -80,7 +118,10 @@
         self.is_crowded = is_crowded
         # Set when the node is to stop: each answer then closes its connection.
         self.closing = False
-        self.server = _Server(self._answer, make_room)
+        # How many were turned away unread since that was last told of, by status.
+        self.away: dict[int, int] = {}
+        self.told_at = -TELL_EVERY
+        self.server = _Server(self._answer, make_room, self._turned_away)
         self.listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -119,48 +160,78 @@
         return len(self.server._connections)
 
     def close_one_idle(self, pressed: bool) -> bool:
-        """Give up a connection between two requests, or else one that has brought none for long.
+        """Give up a connection that has brought no request for long, or else one between two requests.
 
         What a new connection brings may be on its way and counts as taken: it is read, refused if need be.
         Only when pressed is the oldest of these given up: no descriptor left for accepting would cost more.
         """
         now = asyncio.get_running_loop().time()
-        silent = None
+        newer = used = None
         for connection in self.server._connections:
             if _is_idle(connection):
                 if connection._request_count:
+                    used = used or connection
+                elif now - connection._next_keepalive_close_time + QUIET_LONG > SILENT_LONG:
+                    # Before those of usual callers, who ask as soon as they have connected.
                     connection.force_close()
                     return True
-                opened = connection._next_keepalive_close_time - connection.keepalive_timeout
-                if pressed or now - opened > SILENT_LONG:
-                    silent = silent or connection
-        if silent is not None:
-            silent.force_close()
-        return silent is not None
+                else:
+                    newer = newer or connection
+        chosen = used or (newer if pressed else None)
+        if chosen is not None:
+            chosen.force_close()
+        return chosen is not None
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         """From a request's first byte to the last of its answer."""
         if request.raw_path == READY_PATH:
             return self._response(Answer(200 if self.is_ready() else 503))
+        try:
+            call = await self._read(request)
+        except BadCall as bad:
+            self._turned_away(bad.status)
+            plain = (("Content-Type", "text/plain"),)
+            return self._response(Answer(bad.status, f"{bad}\n".encode(), plain), close=True)
         if self.is_crowded():
             # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
             return self._response(Answer(503), close=True)
+        patience = self.tracks[call.track] if call.left_us is None else call.left_us
+        return self._response(await self.live(call, patience, _unread_us(request)))
+
+    async def _read(self, request: web.BaseRequest) -> Call:
+        """A request with its body, which must be short, come soon and end in one way only."""
+        message, fields = request._message, request.headers
+        if message.version not in (HttpVersion10, HttpVersion11) or message.upgrade:
+            raise BadCall(400, "this is HTTP/1.1 without upgrades")
+        if any(len(fields.getall(name, ())) > 1 for name in ONCE):
+            raise BadCall(400, "a field stands twice that may stand once")
+        if fields.get("Transfer-Encoding", "chunked").lower() != "chunked":
+            raise BadCall(400, "Transfer-Encoding is not chunked")
+        if (request.content_length or 0) > BODY_MOST:
+            raise BadCall(413, f"the body is longer than {BODY_MOST} bytes")
+        if fields.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
             async with asyncio.timeout(BODY_WAIT):
                 body = await request.read()
-            raw = request.raw_headers
-            call = read_call(request.method, request.raw_path, request.headers, raw, body, self.tracks)
         except web.HTTPRequestEntityTooLarge:
-            return self._response(Answer(413), close=True)
+            raise BadCall(413, f"the body is longer than {BODY_MOST} bytes") from None
         except TimeoutError:
-            return self._response(Answer(408), close=True)
+            raise BadCall(408, "the body did not come in time") from None
         except (web.RequestPayloadError, HttpProcessingError):
-            return self._response(Answer(400), close=True)
-        except BadCall as bad:
-            plain = (("Content-Type", "text/plain"),)
-            return self._response(Answer(bad.status, f"{bad}\n".encode(), plain))
-        patience = self.tracks[call.track] if call.left_us is None else call.left_us
-        return self._response(await self.live(call, patience, _unread_us(request)))
+            raise BadCall(400, "the body can't be read") from None
+        raw = request.raw_headers
+        return read_call(request.method, request.raw_path, fields, raw, body, self.tracks)
+
+    def _turned_away(self, status: int) -> None:
+        """Count, and tell of it now and then."""
+        self.away[status] = self.away.get(status, 0) + 1
+        now = asyncio.get_running_loop().time()
+        if now - self.told_at >= TELL_EVERY:
+            pairs = {str(known): count for known, count in sorted(self.away.items())}
+            log.warning("requests turned away unread", extra={"pairs": pairs})
+            self.away.clear()
+            self.told_at = now
 
     def _response(self, answer: Answer, close: bool = False) -> web.Response:
         response = web.Response(status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers))
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -24,10 +24,11 @@
 class Inquiry:
     """What is kept of one inquiry while it lasts."""
 
-    __slots__ = ("choice", "name", "trip", "trip_number", "withdrawn")
+    __slots__ = ("choice", "name", "request_id", "trip", "trip_number", "withdrawn")
 
-    def __init__(self, name: InquiryId, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, name: InquiryId, request_id: str, loop: asyncio.AbstractEventLoop) -> None:
         self.name = name
+        self.request_id = request_id
         self.choice: asyncio.Future[Send | Answer] = loop.create_future()
         self.trip_number = 0
         # The trip under way, and whether it is to be stopped.
@@ -53,6 +54,8 @@
     def __init__(self, servers: Servers) -> None:
         self.servers = servers
         self.in_hand: dict[InquiryId, Inquiry] = {}
+        # The callers' own ids of these.
+        self.open_ids: set[str] = set()
         self.next_name = 0
         self.balancer: Balancer | None = None
 
@@ -64,10 +67,14 @@
         """
         balancer = self.balancer
         assert balancer is not None
+        if call.request_id in self.open_ids:
+            # Guards the open one: servers would take this for a second copy of it.
+            return failure(409)
         loop = asyncio.get_running_loop()
         name = self.next_name
         self.next_name += 1
-        inquiry = self.in_hand[name] = Inquiry(name, loop)
+        inquiry = self.in_hand[name] = Inquiry(name, call.request_id, loop)
+        self.open_ids.add(call.request_id)
         try:
             # The module answers before the patience ends. The time-out guards against a day when it does not,
             # or when so much of the patience was over before that it does so too late.
@@ -104,7 +111,7 @@
             return failure(500)
         finally:
             if inquiry.trip is None:
-                self.in_hand.pop(name, None)
+                self._over(inquiry)
 
     def _trip_ended(self, inquiry: Inquiry, end: TripEnd, over: bool) -> None:
         assert self.balancer is not None
@@ -124,8 +131,12 @@
             # Chosen but never begun.
             self._trip_ended(inquiry, TripEnd(Outcome.MOOT, 0), over=True)
 
+    def _over(self, inquiry: Inquiry) -> None:
+        if self.in_hand.pop(inquiry.name, None) is not None:
+            self.open_ids.discard(inquiry.request_id)
+
     def _late_end(self, inquiry: Inquiry, trip: asyncio.Task[TripEnd]) -> None:
-        self.in_hand.pop(inquiry.name, None)
+        self._over(inquiry)
         # A trip that failed by a bug was logged with its inquiry; its server's place must be free again.
         broken = trip.cancelled() or trip.exception() is not None
         self._trip_ended(inquiry, TripEnd(Outcome.RESET, 0) if broken else trip.result(), over=True)
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -58,6 +58,7 @@
 class Call:
     """A caller's request: the fields that decisions need, and the bytes that go on unchanged."""
 
+    request_id: str
     track: str
     tenant: str | None
     # How long the caller will wait; None: as long as the track's patience.
@@ -130,7 +131,8 @@
         raise BadCall(404, "the first part of the path names no class of request known here")
     if method not in METHODS:
         raise BadCall(405, "the method is neither GET nor POST")
-    if not fields.get("Req-Id"):
+    request_id = fields.get("Req-Id", "").strip()
+    if not request_id:
         raise BadCall(400, "Req-Id is missing")
     deadline = fields.get("Req-Deadline")
     dropped = NOT_TO_SERVERS
@@ -138,6 +140,7 @@
         dropped = dropped | {name.strip().lower().encode() for name in fields["Connection"].split(",")}
     lines = b"".join(b"%b: %b\r\n" % pair for pair in _kept(raw, dropped))
     return Call(
+        request_id=request_id,
         track=track,
         tenant=fields.get("Req-Owner"),
         left_us=None if deadline is None else _duration_us(deadline),
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -134,13 +134,21 @@
         seen = await asyncio.wait_for(read_message(self.reader), 5)
         return int(seen.line.split()[1]), seen
 
+    async def status(self) -> int:
+        """Of an answer whose rest does not matter."""
+        line = await asyncio.wait_for(self.reader.readline(), 5)
+        return int(line.split()[1])
+
     async def ask(self, *args: Any) -> tuple[int, Seen]:
         self.send(*args)
         return await self.answer()
 
     async def at_end(self) -> bytes:
         """What still comes until the node ends the connection."""
-        return await asyncio.wait_for(self.reader.read(), 5)
+        try:
+            return await asyncio.wait_for(self.reader.read(), 5)
+        except ConnectionError:
+            return b""
 
     def leave(self) -> None:
         self.writer.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -108,16 +108,67 @@
             (404, b"GET /nothing HTTP/1.1\r\nHost: n\r\n\r\n"),
             (400, head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
             (408, head + b"Content-Length: 10\r\n\r\nhalf"),
-            (413, head + b"Content-Length: 65537\r\n\r\n" + bytes(65_537)),
+            (413, head + b"Content-Length: 60000000\r\n\r\nnot all of it"),
+            (413, head + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n%b\r\n" % bytes(32768) * 3),
+            (400, head + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            (400, head + b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nab"),
+            (400, head + b"Content-Length: -2\r\n\r\nab"),
+            (400, head + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+            (400, head + b"Req-Id: 2\r\n\r\n"),
+            (400, head + b"Upgrade: websocket\r\nConnection: upgrade\r\n\r\n"),
+            (400, head.replace(b"1.1", b"2.0") + b"\r\n"),
         ):
             with self.subTest(data=data[-40:]), mock.patch("coraldeal.net.callers.BODY_WAIT", 0.1):
                 caller = await node.caller()
                 caller.raw(data)
-                self.assertEqual((await caller.answer())[0], status)
-                caller.leave()
+                self.assertEqual(await caller.status(), status)
+                await caller.at_end()
+        expecting = await node.caller()
+        expecting.raw(head + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+        self.assertEqual(await expecting.status(), 100)
+        expecting.leave()
         self.assertEqual((await (await node.caller()).ask("read", bytes(65_536)))[0], 200)
         self.assertEqual([len(seen.body) for seen in server.seen], [65_536])
 
+    async def test_an_id_in_hand_is_turned_away_and_the_open_one_goes_on(self) -> None:
+        go_on = asyncio.Event()
+
+        async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await go_on.wait()
+            await serve_well(seen, reader, writer)
+
+        server = await self.stand_in(play)
+        node = await self.node(server)
+        first, second = await node.caller(), await node.caller()
+        request = b"GET /read/x HTTP/1.1\r\nHost: n\r\nReq-Id: same\r\n\r\n"
+        first.raw(request)
+        await until(lambda: len(server.seen) == 1)
+        second.raw(request)
+        self.assertEqual((await second.answer())[0], 409)
+        go_on.set()
+        self.assertEqual((await first.answer())[0], 200)
+        self.assertEqual((len(server.seen), node.node.inquiries.open_ids), (1, set()))
+
+    async def test_silence_a_head_without_end_and_staying_on_are_closed(self) -> None:
+        with mock.patch("coraldeal.net.callers.QUIET_LONG", 0.2):
+            node = await self.node(await self.stand_in())
+            silent, endless, staying = [await node.caller() for _ in range(3)]
+            self.assertEqual((await staying.ask())[0], 200)
+            endless.raw(b"GET /read/x HTTP/1.1\r\nHost: n\r\nX: ")
+            for caller in (silent, endless, staying):
+                self.assertEqual(await caller.at_end(), b"")
+        self.assertEqual(node.node.callers.held, 0)
+
+    async def test_a_flood_of_what_cannot_be_read_is_told_in_one_line(self) -> None:
+        node = await self.node(await self.stand_in())
+        with self.assertLogs(None, "INFO") as logs:
+            for _ in range(30):
+                caller = await node.caller()
+                caller.raw(b"nonsense\r\n\r\n")
+                self.assertEqual(await caller.status(), 400)
+        self.assertEqual(len(logs.output), 1)
+        self.assertEqual(sum(node.node.callers.away.values()), 29)
+
     async def test_a_bug_is_logged_answered_and_costs_no_other_inquiry(self) -> None:
         node = await self.node(await self.stand_in())
         caller = await node.caller()
@@ -231,6 +282,16 @@
         self.assertLess(node.node.callers.held, 130)
         self.assertEqual((await (await node.caller()).ask())[0], 200)
 
+    async def test_those_that_say_nothing_go_before_those_between_two_requests(self) -> None:
+        with mock.patch("coraldeal.net.callers.SILENT_LONG", 0.0):
+            node = await self.node(await self.stand_in(), sockets=140)
+            usual = await node.caller()
+            self.assertEqual((await usual.ask())[0], 200)
+            for _ in range(150):
+                await node.caller()
+            await until(lambda: node.node.callers.held <= 120)
+            self.assertEqual((await usual.ask())[0], 200)
+
     async def test_beyond_the_limit_an_inquiry_is_refused_not_lost(self) -> None:
         server = await self.stand_in(never_answer)
         node = await self.node(server, sockets=140)
