A node told to end serves on those who are connected until just before its end

The log shows one front node ended 0.6 s after SIGTERM, its neighbour 0.9 s after its own, three seconds later and one second before the first was back: nobody was there. Ruled out: lost answers (none), the watch (moved within a millisecond).

At fault: node.py, _drain closed idle callers at once and each other one with its next answer, though callers use what they have for as long as it stays open. Now they are served until one expected time before the end; what is open then is answered 504 at the latest 0.6 s after the longest patience, so nothing is left to a kill.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -133,23 +133,19 @@
         self.listener = await loop.create_server(self.server, sock=listening, backlog=ACCEPT_AT_ONCE)
         listening.listen(BACKLOG)
 
-    def begin_closing(self) -> None:
-        """Each answer now closes its connection; those between two requests are closed at once.
-
-        While the node still listens: a caller whose request crosses the close sends it again on a new one.
-        """
-        self.closing = True
-        self._close_idle(silent_too=False)
-
     def stop_listening(self) -> None:
-        """No new connections; those that never brought a request are closed, the rest after their answer."""
+        """No new connections; those that never brought a request are closed."""
         if self.listener is not None:
             self.listener.close()
-        self._close_idle(silent_too=True)
+        for connection in self.server.connections:
+            if _is_idle(connection) and not connection._request_count:
+                connection.force_close()
 
-    def _close_idle(self, silent_too: bool) -> None:
+    def begin_closing(self) -> None:
+        """Each answer now closes its connection; those between two requests are closed at once."""
+        self.closing = True
         for connection in self.server.connections:
-            if _is_idle(connection) and (silent_too or connection._request_count):
+            if _is_idle(connection):
                 connection.force_close()
 
     async def close(self) -> None:
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -57,6 +57,8 @@
         # The callers' own ids of these.
         self.open_ids: set[str] = set()
         self.next_name = 0
+        # When the node ends: no answer may come later than that.
+        self.until: int | None = None
         self.balancer: Balancer | None = None
 
     async def live(self, call: Call, left_us: int, unread_us: int) -> Answer:
@@ -77,8 +79,11 @@
         self.open_ids.add(call.request_id)
         try:
             # The module answers before the patience ends. The time-out guards against a day when it does not,
-            # or when so much of the patience was over before that it does so too late.
-            async with asyncio.timeout((left_us - unread_us) / 1e6):
+            # or when so much of the patience was over before that it does so too late, or when the node ends.
+            wait_us = left_us - unread_us
+            if self.until is not None:
+                wait_us = min(wait_us, self.until - self.servers.clock())
+            async with asyncio.timeout(wait_us / 1e6):
                 balancer.inquiry_arrived(name, call.track, call.tenant, left_us, call.repeat)
                 while True:
                     choice = await inquiry.choice
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -115,20 +115,32 @@
         log.info("configuration read anew", extra={"pairs": pairs})
 
     async def _drain(self) -> None:
-        """Take what still comes, answer all in hand, close."""
+        """Serve on where callers are connected, then answer all in hand and close.
+
+        Callers use the connections they have for as long as these stay open: those of a node that closes them
+        at once must all go to its neighbours, or find nobody while these restart too.
+        """
         self._enter(Phase.DRAINING)
-        self.callers.begin_closing()
+        tracks = self.config.settings.tracks
+        longest = max((track.patience_us for track in tracks), default=0)
+        expected = max((track.expected_time_us for track in tracks), default=0)
+        # No later than this the platform may kill.
+        end = self.inquiries.until = clock() + longest + int(END_SLACK * 1e6)
         await asyncio.sleep(STILL_ACCEPTING)
         self.callers.stop_listening()
-        longest = max((track.patience_us for track in self.config.settings.tracks), default=0) / 1e6
-        until = clock() + int((longest + END_SLACK - STILL_ACCEPTING) * 1e6)
-        while self.callers.held and clock() < until:
-            await asyncio.sleep(0.01)
+        await self._while_held(end - expected)
+        self.callers.begin_closing()
+        await self._while_held(end)
         await self.callers.close()
         await self.discovery.close()
         await self.servers.close()
         self._enter(Phase.ENDED)
 
+    async def _while_held(self, until: int) -> None:
+        """Wait for this time, or until no caller is connected."""
+        while self.callers.held and clock() < until:
+            await asyncio.sleep(0.01)
+
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         pairs = {"node": self.config.name, "phase": phase.value, "in_hand": len(self.inquiries.in_hand)}
