Calm means follow wide networks; resets are no sign of load; the held go by last call

The module's state logged each second in a copy: all four servers of the front at a cap of one, 10 trips a second, answers 1.6 to 2.1 times the calm mean though next to nothing was out. Answers take 300 ms there at any load, the calm mean (first guess 166 ms) drifted up by 0.8 % a second and a cap rises only within 1.5 times it. 25 to 40 resets in five seconds (kept connections reset at the next request) halved caps besides. Ruled out: queues in tier two (nothing held, pace a tenth of the time), the network code's own time (1 ms), the list.

balance.py: _sweep (calm drifts ten times as fast where the whole tier is used and caps are low), _judge (a reset moves no cap or bucket unless half of a server's trips fail), _hold (by last call within a worth: the shortest track was served least).

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -48,6 +48,8 @@
 # How many times the fleet's median pace marks a server that gives up turns, and one that has fallen behind.
 SLOWER = 1.2
 FAR_BEHIND = 2.0
+# Up to what mean cap a node's caps are low.
+LOW_CAPS = 2.5
 # From what part of its trips on a server is taken to fail, whatever its failures look like.
 MOSTLY = 0.5
 # The longest rest.
@@ -249,7 +251,7 @@
         self.inquiries: dict[InquiryId, Inquiry] = {}
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
         self.looking: dict[ServerId, list[tuple[Inquiry, Server, Trip | None]]] = {}
-        self.held: list[tuple[float, int, Inquiry]] = []
+        self.held: list[tuple[float, int, int, Inquiry]] = []
         self.last_calls: list[tuple[int, int, Inquiry]] = []
         self.order = 0
         self.watching_held = False
@@ -657,10 +659,11 @@
             self._look_when_late(trip)
 
     def _hold(self, inquiry: Inquiry, now: int) -> None:
-        """Hold by worth, then in order of arrival."""
+        """Hold by worth, then by last call: short expected times would go by behind long ones."""
         self.order += 1
-        heappush(self.held, (-inquiry.worth, self.order, inquiry))
-        heappush(self.last_calls, (inquiry.end - int(inquiry.state.slow), self.order, inquiry))
+        last_call = inquiry.end - int(inquiry.state.slow)
+        heappush(self.held, (-inquiry.worth, last_call, self.order, inquiry))
+        heappush(self.last_calls, (last_call, self.order, inquiry))
         if not self.watching_held:
             self.watching_held = True
             self.host.wake("held", self.token_wait)
@@ -668,9 +671,9 @@
     def _fill(self, now: int) -> None:
         """Give free places to held inquiries."""
         held = self.held
-        aside: list[tuple[float, int, Inquiry]] = []
+        aside: list[tuple[float, int, int, Inquiry]] = []
         while held:
-            inquiry = held[0][2]
+            inquiry = held[0][3]
             if inquiry.over or inquiry.out is not None:
                 heappop(held)
                 continue
@@ -744,8 +747,8 @@
                 else:
                     server.pace = IN_TIME
                     self._rest(server, now, "far behind the fleet", SECOND)
-        elif outcome is Outcome.SPOILT and server.fail_share < MOSTLY:
-            # It did the work and wrote it badly: no sign of load, unless it does little else.
+        elif outcome in (Outcome.SPOILT, Outcome.RESET) and server.fail_share < MOSTLY:
+            # It wrote its answer badly or dropped a connection: no sign of load, unless it does little else.
             server.fail_share += 0.2 * (1 - server.fail_share)
         elif outcome not in (Outcome.WITHDRAWN, Outcome.MOOT):
             if outcome is Outcome.TIMEOUT or trip.inquiry.end - now < 4 * self.margin:
@@ -847,9 +850,14 @@
             self.floor = max(self.arrival_rate * 0.1, promise, served, 1 / SECOND / self.instances)
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
+        # Where a node uses the whole tier and all its caps are low, answers don't take long for its load:
+        # the network is wide, or all servers are slow. Caps would stay low for a minute else.
+        whole = len(self.rotation) == len(self.ranked)
+        low = whole and sum(server.cap for server in self.rotation) <= LOW_CAPS * len(self.rotation)
+        drift = 1.02 if low else 1.002
         for state in self.tracks.values():
             if state.answers >= ENOUGH:
-                state.calm = min(state.calm * 1.002, state.mean)
+                state.calm = min(state.calm * drift, state.mean)
         self.calm = not self.held and self.pace <= CALM
         self.calm_trip = int(min((s.calm for s in self.tracks.values()), default=self.margin))
         shares = sorted(server.fail_share for server in self.rotation)
