--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -31,9 +31,6 @@
 END_OF_HEAD = b"\r\n\r\n"
 
 
-_NO_CAUSE = ResponseHandler.set_exception.__defaults__[0]  # type: ignore[index]
-
-
 class Spoilt(Exception):
     """An answer has come that is none."""
 
@@ -83,11 +80,11 @@
             elif length is not None and not message.chunked:
                 self.body_left = int(length)
 
-    def set_exception(self, exc: BaseException, exc_cause: BaseException = _NO_CAUSE) -> None:
-        super().set_exception(exc, exc_cause)
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        super().set_exception(exc, *cause)
         # aiohttp tells whoever waits for a head and not whoever reads the body.
         if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(exc, exc_cause)
+            self._payload.set_exception(exc, *cause)
 
     def data_received(self, data: bytes) -> None:
         while data and not self.over:
