The rig: stand-in servers, callers, lists, troubles, experiments and a demo on loopback

The node's own tests see single trips; nothing of ours could play a deploy, an outage or a cold server at load.

Change: coraldeal/rig/. A server's model without I/O (cores, slots, queue, cold start, choking, groups, marks) under a driver that speaks the platform's protocol; open and closed loops of callers with intended send times; a list for each node; troubles taken apart into steps before a run; the four rules judged from the books of callers, servers and lists alone; baselines and planted faults in place of the module; summary, time series, HDR histograms and a report that stands alone. What a node imports is unchanged.

--- a/coraldeal/__main__.py
+++ b/coraldeal/__main__.py
@@ -1,4 +1,4 @@
-"""Command line: `python -m coraldeal serve` is one node."""
+"""Command line: `coraldeal serve` is one node, `coraldeal rig` the experiments on stand-ins."""
 
 from __future__ import annotations
 
@@ -13,6 +13,16 @@
 from coraldeal.logs import set_up
 from coraldeal.net.wire import read_list
 
+EXAMPLES = """
+examples:
+  coraldeal check --config example/config.json
+  coraldeal serve --config example/config.json
+  coraldeal rig run experiments/calm.toml
+
+exit status: 0 well ended; 1 a claim of an experiment does not hold; 2 bad use, configuration or address;
+130 interrupted
+"""
+
 
 def _read(args: argparse.Namespace, env: Mapping[str, str] = os.environ) -> NodeConfig:
     if not args.config:
@@ -62,14 +72,31 @@
     return 0
 
 
+def _rig(argv: list[str]) -> int:
+    """The rig has needs of its own, which a node has not: it is imported only here."""
+    try:
+        from coraldeal.rig.command import main as rig
+    except ModuleNotFoundError as error:
+        text = f"the rig needs {error.name}: pip install -r requirements-rig.txt, or use make demo"
+        print(f"coraldeal: {text}", file=sys.stderr)
+        return 2
+    return rig(argv)
+
+
 def main(argv: list[str] | None = None) -> int:
+    argv = sys.argv[1:] if argv is None else argv
+    if argv[:1] == ["rig"]:
+        return _rig(argv[1:])
     about = "A load balancer for services that call services."
-    parser = argparse.ArgumentParser("coraldeal", description=about)
+    parser = argparse.ArgumentParser(
+        "coraldeal", description=about, epilog=EXAMPLES, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     commands = parser.add_subparsers(dest="command", required=True)
     for name, function, text in (
         ("serve", serve, "run one node until SIGTERM"),
         ("check", check, "read a configuration and say what it means"),
         ("version", version, "print the version"),
+        ("rig", version, "experiments on stand-ins of callers and servers: coraldeal rig --help"),
     ):
         command = commands.add_parser(name, help=text)
         command.set_defaults(function=function)
--- /dev/null
+++ b/coraldeal/rig/command.py
@@ -0,0 +1,252 @@
+"""`coraldeal rig ...`: run an experiment, compare results, draw a report, serve stand-ins, the demo."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from coraldeal.rig import clock
+from coraldeal.rig.claims import ClaimError
+from coraldeal.rig.experiment import ExperimentError
+
+STATUSES = """
+exit status: 0 all claims hold; 1 one does not; 2 bad use (experiment, variant, port); 130 interrupted
+"""
+EXAMPLES = f"""
+examples:
+  coraldeal rig run experiments/calm.toml
+  coraldeal rig run experiments/outage.toml --set seconds=20 --seed 7 --out /tmp/outage
+  coraldeal rig compare results/A results/B
+  coraldeal rig report results/A
+  coraldeal rig serve-standins --servers 4 --work-ms 20 --config /tmp/node.json
+{STATUSES}"""
+
+
+def _value(text: str) -> tuple[str, Any]:
+    """KEY=VALUE; a value that is not JSON is text."""
+    key, equals, value = text.partition("=")
+    if not equals or not key:
+        raise argparse.ArgumentTypeError(f"{text!r} is not of the form KEY=VALUE")
+    try:
+        return key, json.loads(value)
+    except ValueError:
+        return key, value
+
+
+def parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(
+        "coraldeal rig",
+        description="Experiments on stand-ins of callers, servers and the list, on loopback.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = made.add_subparsers(dest="command", required=True)
+
+    def add(name: str, text: str, example: str) -> argparse.ArgumentParser:
+        return commands.add_parser(
+            name,
+            help=text,
+            description=text,
+            epilog=f"example: {example}\n{STATUSES}",
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+
+    run = add("run", "play an experiment", "coraldeal rig run experiments/calm.toml --set load.rate=500")
+    run.add_argument("file", type=Path, help="the experiment, TOML")
+    run.add_argument("--out", type=Path, help="the directory of results (default: a new one under results/)")
+    run.add_argument("--seed", type=int, help="in place of the file's")
+    run.add_argument(
+        "--set", type=_value, action="append", default=[], metavar="KEY=VALUE", help="a key by its path"
+    )
+    run.add_argument("--no-report", action="store_true", help="draw no pictures")
+    compare = add("compare", "ratios of one result to another", "coraldeal rig compare results/A results/B")
+    compare.add_argument("first", type=Path)
+    compare.add_argument("second", type=Path)
+    report = add("report", "draw report.html of a result again", "coraldeal rig report results/A")
+    report.add_argument("folder", type=Path)
+    standins = add(
+        "serve-standins",
+        "stand-in servers and their list for a node of your own, until Ctrl-C",
+        "coraldeal rig serve-standins --servers 3 --work-ms 20 --config node.json --listen 127.0.0.1:8081",
+    )
+    standins.add_argument("--servers", type=int, default=3, help="how many (default: 3)")
+    standins.add_argument("--cores", type=int, default=2, help="of each (default: 2)")
+    standins.add_argument("--work-ms", type=float, default=20.0, help="work of an inquiry (default: 20)")
+    standins.add_argument("--config", type=Path, required=True, help="write a node's configuration there")
+    standins.add_argument("--listen", default="127.0.0.1:8081", help="where that node is to listen")
+    standins.add_argument("--seconds", type=float, default=3600.0, help="end after (default: 3600)")
+    demo = add("demo", "thirty seconds of a node among servers in trouble", "coraldeal rig demo")
+    demo.add_argument("--seconds", type=float, default=30.0, help="default: 30")
+    demo.add_argument("--out", type=Path, help="the directory of results")
+    return made
+
+
+def run(args: argparse.Namespace) -> int:
+    """Play an experiment file."""
+    from coraldeal.rig.play import Play, default_folder, progress_line
+    from coraldeal.rig.run import Run
+
+    folder = args.out or default_folder(args.file)
+    terminal = sys.stderr.isatty()
+    last = 0.0
+
+    def progress(running: Run) -> None:
+        nonlocal last
+        if terminal:
+            print(f"\r\x1b[K{progress_line(running)}", end="", file=sys.stderr, flush=True)
+        elif time.monotonic() - last > 10:
+            last = time.monotonic()
+            print(progress_line(running), file=sys.stderr, flush=True)
+
+    def say(text: str) -> None:
+        if terminal:
+            print("\r\x1b[K", end="", file=sys.stderr, flush=True)
+        print(text, flush=True)
+
+    play = Play(args.file, folder, overrides=dict(args.set), seed=args.seed, say=say, on_progress=progress)
+    return _finish(play, folder, draw=not args.no_report)
+
+
+def _finish(play: Any, folder: Path, draw: bool) -> int:
+    """Play, draw, and say what held."""
+    outcome, status = clock.run(play.play())
+    for verdict in outcome.verdicts:
+        word = "holds" if verdict.true else "DOES NOT HOLD"
+        print(f"claim {verdict.claim}: {word} for {verdict.variant} (seen {verdict.value})")
+    if draw and outcome.summaries:
+        from coraldeal.rig.report import write_report
+
+        print(f"report: {write_report(outcome, folder)}")
+    print(f"results: {folder}")
+    if outcome.interrupted:
+        print("interrupted: what was measured until then is kept", file=sys.stderr)
+    return int(status)
+
+
+def compare(args: argparse.Namespace) -> int:
+    """Two results, figure by figure."""
+    from statistics import median
+
+    from coraldeal.rig.play import COMPARED, read
+
+    first, second = read(args.first), read(args.second)
+    names = [s.variant for s in first.summaries]
+    for name in dict.fromkeys(names):
+        one = [s.figures for s in first.summaries if s.variant == name]
+        two = [s.figures for s in second.summaries if s.variant == name]
+        if not two:
+            print(f"{name}: only in {args.first}")
+            continue
+        print(f"{name}: {len(one)} runs against {len(two)}")
+        print(f"  {'figure':26} {'first':>11} {'second':>11} {'ratio':>7}  spread of second")
+        for figure in COMPARED:
+            old = [f[figure] for f in one if figure in f]
+            new = [f[figure] for f in two if figure in f]
+            if old and new:
+                a, b = median(old), median(new)
+                ratio = f"{b / a:7.3f}" if a else "      -"
+                print(f"  {figure:26} {a:11.4g} {b:11.4g} {ratio}  {min(new):.4g} to {max(new):.4g}")
+    return 0
+
+
+def report(args: argparse.Namespace) -> int:
+    from coraldeal.rig.play import read
+    from coraldeal.rig.report import write_report
+
+    print(write_report(read(args.folder), args.folder))
+    return 0
+
+
+def demo(args: argparse.Namespace) -> int:
+    """The main job: a node among servers that crawl, die and drain, seen live."""
+    from coraldeal.rig.play import Play, default_folder
+    from coraldeal.rig.view import LiveView, demo_file
+
+    file = demo_file()
+    folder = args.out or default_folder(file)
+    overrides = {"seconds": args.seconds} if args.seconds != 30.0 else {}
+    with LiveView() as view:
+        play = Play(file, folder, overrides=overrides, say=view.say, on_progress=view.show)
+        outcome, status = clock.run(play.play())
+    from coraldeal.rig.report import write_report
+
+    if outcome.summaries:
+        figures = outcome.summaries[0].figures
+        print(
+            f"{figures['asked']:.0f} inquiries: {figures['satisfied']:.0f} satisfied, "
+            f"{figures['deferred']:.0f} deferred, {figures['given_up']:.0f} given up, "
+            f"{figures['unanswered']:.0f} unanswered; "
+            + ("no rule broke" if not figures["violations"] else f"RULES BROKEN: {figures['violations']:.0f}")
+        )
+        print(f"report: {write_report(outcome, folder)}")
+    return int(status)
+
+
+def serve_standins(args: argparse.Namespace) -> int:
+    """Stand-ins alone, for trying a node by hand."""
+    return int(clock.run(_standins(args)))
+
+
+async def _standins(args: argparse.Namespace) -> int:
+    from coraldeal.rig.books import Book
+    from coraldeal.rig.experiment import Experiment, Load, TierSpec, TrackSpec, Variant, World
+    from coraldeal.rig.listing import Listed, Listing
+    from coraldeal.rig.model import Group, Shape
+    from coraldeal.rig.nodes import NodeProcess, Program
+    from coraldeal.rig.standins import StandIn
+
+    tier = TierSpec(servers=args.servers, cores=args.cores)
+    tracks = [TrackSpec(name="read", work_ms=args.work_ms), TrackSpec(name="gift", effect="labelled")]
+    experiment = Experiment(name="standins", world=World(tiers=[tier]), load=Load(tracks=tracks))
+    book, group = Book(), Group(0.0, 2_000_000)
+    listing = Listing(0, book, 300_000)
+    shape = Shape(cores=args.cores)
+    for number in range(args.servers):
+        standin = StandIn(
+            f"front-{number}", 0, "a", shape, group, book, 1, fields=[], probes=False, idle_us=5_000_000
+        )
+        standin.usual_work_us = int(args.work_ms * 1000)
+        await standin.start({"a": 0.0})
+        listing.add(Listed(standin.name, "a", 0, standin.ports))
+        print(f"{standin.name} on 127.0.0.1:{standin.ports['a']}")
+    port = await listing.open(0, "a")
+    host, _, listen = args.listen.rpartition(":")
+    node = NodeProcess("node", 0, 0, "a", int(listen), args.config.parent, Program([], Path()))
+    node.path = args.config
+    node.configure(experiment, Variant(name="standins"), listing, port, 1, 0, 1)
+    print(f"the list on 127.0.0.1:{port}; start a node: coraldeal serve --config {args.config}")
+    print(f"then: curl -i -H 'Req-Id: 1' -H 'Req-Deadline: 800m' http://{host}:{listen}/read/x", flush=True)
+    stop = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    try:
+        await asyncio.wait_for(stop.wait(), args.seconds)
+    except TimeoutError:
+        print("the time is over")
+    await listing.close()
+    return 0
+
+
+def main(argv: list[str]) -> int:
+    """Exit statuses are told by --help."""
+    args = parser().parse_args(argv)
+    acts = {
+        "run": run,
+        "compare": compare,
+        "report": report,
+        "serve-standins": serve_standins,
+        "demo": demo,
+    }
+    try:
+        return acts[args.command](args)
+    except (ExperimentError, ClaimError, OSError) as error:
+        print(f"coraldeal rig: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 130
