--- a/coraldeal/rig/nodes.py
+++ b/coraldeal/rig/nodes.py
@@ -204,6 +204,8 @@
                 stdout=log,
                 stderr=log,
                 preexec_fn=_end_with_parent,
+                # Ctrl-C at a terminal reaches the whole group, and would end nodes in the middle of a run.
+                start_new_session=True,
             )
 
     async def until_ready(self) -> None:
--- a/coraldeal/rig/results.py
+++ b/coraldeal/rig/results.py
@@ -26,6 +26,8 @@
 # A process of the rig that used so much of a core, or a loop so late, may have been the bottleneck itself.
 BUSY = 0.85
 LATE_TOLD_US = 20_000
+# From what part on the machine was not this run's own.
+STOLEN = 0.1
 # Of the usual: from when on it is served again.
 AGAIN = 0.9
 
@@ -306,6 +308,9 @@
             self.warnings.append(
                 f"the rig ran up to {max(lates) / 1000:.0f} ms late, {len(lates)} times: latencies hold it"
             )
+        figures["machine_stolen_part"] = played.stolen
+        if played.stolen > STOLEN:
+            self.warnings.append(f"others took {played.stolen:.0%} of the busy time of this machine")
         if not played.whole:
             self.warnings.append("the run was cut short; figures are of what was measured until then")
         for name, node in played.nodes.items():
--- a/coraldeal/rig/run.py
+++ b/coraldeal/rig/run.py
@@ -73,6 +73,8 @@
     whole: bool = True
     # CPU seconds of each process of the rig.
     rig_cpu: dict[str, float] = field(default_factory=dict)
+    # The part of the machine's busy time that its host gave to others; 0 where it does not say.
+    stolen: float = 0.0
 
 
 class _Process:
@@ -153,7 +155,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         program = program_of(self.variant, self.folder)
         whole = True
-        before = _own_cpu()
+        before, machine = _own_cpu(), _machine_ticks()
         try:
             ports = await self._start_servers()
             await self._start_lists(ports)
@@ -164,7 +166,7 @@
             self.end_us = self.start_us + int(self.experiment.seconds * 1e6)
             for child in self.children:
                 child.tell(Begin(self.start_us, self.end_us))
-            before = _own_cpu()
+            before, machine = _own_cpu(), _machine_ticks()
             for node in self.nodes:
                 node.cpu_before = node.figures()[0]
             self.tasks += [
@@ -183,7 +185,10 @@
                 self._count(node)
         finally:
             await self._end()
-        return self._gathered(whole, _own_cpu() - before)
+        played = self._gathered(whole, _own_cpu() - before)
+        busy, stolen = (now - then for now, then in zip(_machine_ticks(), machine, strict=True))
+        played.stolen = stolen / (busy + stolen) if busy + stolen else 0.0
+        return played
 
     # The parts.
 
@@ -193,6 +198,8 @@
             "-m",
             "coraldeal.rig.child",
             kind,
+            # Not read: it tells on a list of processes which run this one belongs to.
+            str(self.folder),
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             cwd=ROOT,
@@ -240,7 +247,7 @@
         for index, name in enumerate(node_names(experiment)):
             zone = zones[index % len(zones)]
             first = experiment.world.first_port
-            port = first + index if first else _free_port()
+            port = _wanted_port(first + index) if first else _free_port()
             made.append((self._node(name, index, 0, zone, port, program), experiment.world.nodes, index))
         callers: dict[str, tuple[int, int]] = {}
         for layer in range(1, len(names)):
@@ -436,6 +443,27 @@
     return used.ru_utime + used.ru_stime
 
 
+def _machine_ticks() -> tuple[int, int]:
+    """Ticks that the whole machine was busy, and those that its host gave to others."""
+    try:
+        words = Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:]
+    except OSError:
+        return 0, 0
+    ticks = [int(word) for word in words]
+    return sum(ticks[place] for place in (0, 1, 2, 5, 6)), ticks[7] if len(ticks) > 7 else 0
+
+
+def _wanted_port(port: int) -> int:
+    """This one; raises ExperimentError where another has it."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError as error:
+            raise ExperimentError(f"world.first_port: port {port} can't be had: {error.strerror}") from None
+    return port
+
+
 def _free_port() -> int:
     """One that was free a moment ago; the system deals others out first."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
