--- a/coraldeal/rig/books.py
+++ b/coraldeal/rig/books.py
@@ -35,7 +35,7 @@
     own: bool = False
     # Why there is none: "" or left, closed, refused, silent, unreadable, ended (the experiment was over).
     why: str = ""
-    # Whether more came after the answer where nothing was asked.
+    # Whether more came after its answer, on the same connection, with nothing asked.
     surplus: bool = False
     # What the answer advised, in microseconds; -1: nothing.
     advice_us: int = -1
--- a/coraldeal/rig/play.py
+++ b/coraldeal/rig/play.py
@@ -20,7 +20,15 @@
 
 from coraldeal import __version__
 from coraldeal.rig.claims import holds, read_claim
-from coraldeal.rig.experiment import Experiment, ExperimentError, Variant, read_experiment, variants_of
+from coraldeal.rig.clock import now_us
+from coraldeal.rig.experiment import (
+    Experiment,
+    ExperimentError,
+    Variant,
+    put,
+    read_experiment,
+    variants_of,
+)
 from coraldeal.rig.load import make_plan
 from coraldeal.rig.nodes import ROOT
 from coraldeal.rig.results import Counted, Series, Summary
@@ -134,8 +142,6 @@
         say: Callable[[str], None] = print,
         on_progress: Callable[[Run], None] | None = None,
     ) -> None:
-        from coraldeal.rig.experiment import put
-
         first, values = read_experiment(path)
         for key, value in (overrides or {}).items():
             put(values, key, value, "--set")
@@ -312,8 +318,6 @@
     for child in run.children:
         for name, value in child.latest.counts.items():
             counts[name] = counts.get(name, 0) + value
-    from coraldeal.rig.clock import now_us
-
     at = max(0.0, (now_us() - run.start_us) / 1e6)
     fates = ", ".join(
         f"{counts[name]} {name}"
--- a/coraldeal/rig/rules.py
+++ b/coraldeal/rig/rules.py
@@ -88,6 +88,8 @@
             return
         if tried.status == 200 and not tried.own:
             self._break("lost", "an answer that no server made for it", tried.end_us, self.trace(chain))
+        if tried.surplus:
+            self._break("lost", "more than one answer", tried.end_us, self.trace(chain))
         if tried.end_us > tried.sent_us + tried.patience_us + self.slack_us:
             self._break("lost", "answered too late", tried.end_us, self.trace(chain))
         for row in self.attempts[tried.id]:
--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -84,6 +84,7 @@
             {"status": 0, "why": "closed"},
             {"end_us": START + 1200 * MS},
             {"own": False},
+            {"surplus": True},
         ):
             with self.subTest(told):
                 self.assertEqual(judge(Book(tries=[tried(**told)], attempts=[attempt()])), {"lost": 1})
