After an outage of all servers the cold budget goes by what was sent before it

Seen with the rig (experiments/outage-short.toml): eight servers dead for 8 s come back cold, and for 8 s more, until they count as warm, next to nothing is sent: 0 to 8 satisfied in a half second where 122 are usual, 59.5 % of all inquiries deferred. Checked: the list had told the return after 0.3 s, no server was at rest, caps were 2.

Cause: a cold server's budget is a multiple of what a server is sent on average, and in an outage that mean runs down to nothing, a tenth every quarter of a second.

Change: `_sweep` lets that mean fall only while some server of the rotation is able (warm, not at rest).

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -830,7 +830,11 @@
             self._draw_rotation(now)
         weight = 0.5 if now - self.started < 2 * SECOND else 0.1
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
-        self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
+        # In an outage of all, what was sent before stays the measure of what servers may get that come back:
+        # cold ones were sent nothing until they were warm.
+        able = any(server.rest_until <= now and server.warm_at <= now for server in self.rotation)
+        if able or self.sent / SWEEP > self.send_rate:
+            self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
         self.served_rate += weight * (self.served / SWEEP - self.served_rate)
         self.metered = self.sent = self.served = 0
         # The rate follows within seconds, whether answers are many or few: few of them take larger steps.
--- a/coraldeal/rig/callers.py
+++ b/coraldeal/rig/callers.py
@@ -18,6 +18,7 @@
 from coraldeal.rig.clock import now_us
 from coraldeal.rig.experiment import Load, TrackSpec
 from coraldeal.rig.load import Planned
+from coraldeal.rig.ready import is_ready
 
 SECOND = 1_000_000
 # How often a node is asked whether it is ready.
@@ -40,6 +41,11 @@
     refused_at: int = 0
     idle: list[Line] = field(default_factory=list)
 
+    @property
+    def usable(self) -> bool:
+        """A node that ends takes no new connections; those that callers have are used while they are open."""
+        return self.ready or (bool(self.idle) and not self.refused_at)
+
 
 class Line(asyncio.Protocol):
     """One connection of a caller, with one request on it at a time."""
@@ -383,8 +389,8 @@
     def target(self, caller: int) -> Target | None:
         """Where this caller's connection is dealt to: its zone's nodes first, then any."""
         zone = self.zones[caller % len(self.zones)]
-        near = [target for target in self.by_zone[zone] if target.ready]
-        chosen = near or [target for target in self.targets if target.ready]
+        near = [target for target in self.by_zone[zone] if target.usable]
+        chosen = near or [target for target in self.targets if target.usable]
         return chosen[(caller // len(self.zones)) % len(chosen)] if chosen else None
 
     def tenant(self, planned: Planned) -> str:
@@ -485,19 +491,11 @@
     async def _ask_ready(self, target: Target) -> None:
         try:
             async with asyncio.timeout(1.0):
-                reader, writer = await asyncio.open_connection("127.0.0.1", target.port)
-                try:
-                    writer.write(b"GET /ready HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
-                    status = (await reader.readline()).split(b" ")
-                finally:
-                    writer.close()
+                target.ready = await is_ready(target.port)
         except (OSError, TimeoutError):
             self.refused(target)
             return
-        if len(status) > 1 and status[1] == b"200":
-            target.ready, target.refused_at = True, 0
-        else:
-            target.ready = False
+        target.refused_at = 0
 
     async def stay_idle(self, count: int) -> None:
         """Connections that ask once and stay, opened again when the other side closes them."""
--- a/coraldeal/rig/nodes.py
+++ b/coraldeal/rig/nodes.py
@@ -23,6 +23,7 @@
 from coraldeal.rig.draws import stream
 from coraldeal.rig.experiment import Experiment, ExperimentError, Variant, put
 from coraldeal.rig.listing import Listing
+from coraldeal.rig.ready import is_ready
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_WAIT = 20.0
@@ -214,16 +215,9 @@
             while True:
                 if self.process is None or self.process.returncode is not None:
                     raise ExperimentError(f"{self.name} ended at its start: {self.last_words()}")
-                try:
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                except OSError:
-                    await asyncio.sleep(0.02)
-                    continue
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b" 200" in line:
-                    return
+                with contextlib.suppress(OSError):
+                    if await is_ready(self.port):
+                        return
                 await asyncio.sleep(0.02)
 
     def last_words(self) -> str:
--- a/tests/rig/test_runs.py
+++ b/tests/rig/test_runs.py
@@ -24,6 +24,7 @@
 seconds = 6
 settle_seconds = 1
 side_by_side = true
+slack_ms = 300
 [world]
 nodes = 2
 [[world.tiers]]
@@ -68,6 +69,7 @@
 TROUBLES = """
 name = "troubles"
 seconds = 8
+slack_ms = 300
 settle_seconds = 1
 [world]
 zones = ["a", "b"]
@@ -183,12 +185,13 @@
             f"[[timeline]]\nat = {2 + 0.1 * number}\ndo = '{do}'\nwho = ['{who}']\n{more}\n"
             for number, (do, who, more) in enumerate(EVENTS)
         )
+        events += "[[timeline]]\nat = 5\ndo = 'node_term'\nwho = ['node-0']\nseconds = 2.5\n"
         outcome, _ = play(TROUBLES + events, self.folder)
         summary = outcome.summaries[0]
         self.assertEqual(summary.figures["violations"], 0, summary.violations[:2])
         self.assertEqual(summary.figures["crashes"], 0)
         self.assertGreater(summary.figures["satisfied_part"], 0.6)
-        self.assertEqual(len({what for _, what, _ in summary.troubles}), 20)
+        self.assertEqual(len({what for _, what, _ in summary.troubles}), 21)
         log = next(self.folder.glob("out/*/node-0.log")).read_text()
         self.assertIn('event="configuration read anew"', log)
         hows = {how for told in summary.servers.values() for how in told}
