--- a/coraldeal/rig/view.py
+++ b/coraldeal/rig/view.py
@@ -28,6 +28,8 @@
 }
 # How many looks a rate is taken over.
 LOOKS = 4
+# The longest bar, in characters: the table fits a terminal of 80.
+BAR = 12
 
 
 def demo_file() -> Path:
@@ -76,16 +78,15 @@
             self.say(f"{at:5.1f} s {_fates(counts)}; {states or 'all servers up'}")
 
     def _head(self, run: Run, at: float, counts: dict[str, int]) -> Text:
-        lines = counts.get("lines", 0)
-        return Text(f"{at:5.1f} of {run.experiment.seconds:g} s   {_fates(counts)}   {lines} connections")
+        return Text(f"{at:5.1f} of {run.experiment.seconds:g} s   {_fates(counts)}")
 
     def _table(self, run: Run, servers: dict[str, tuple[str, int, int, float]], at: float) -> Table:
         table = Table(title=run.experiment.name)
         for name, where in (("server", "left"), ("state", "left"), ("speed", "right"), ("in hand", "right")):
             table.add_column(name, justify="right" if where == "right" else "left")
         table.add_column("trips/s", justify="right")
-        table.add_column("", min_width=24)
-        table.add_column("last trouble")
+        table.add_column("", min_width=BAR, no_wrap=True)
+        table.add_column("last trouble", no_wrap=True)
         first_at, first = self.seen[0]
         last_at, last = self.seen[-1]
         span = max(1e-6, (last_at - first_at) / 1e6)
@@ -108,7 +109,7 @@
                 f"{speed:.0%}",
                 str(held),
                 f"{rate:.0f}",
-                Text("█" * round(24 * rate / most), style=COLOURS.get(phase, "white")),
+                Text("█" * round(BAR * rate / most), style=COLOURS.get(phase, "white")),
                 trouble,
             )
         return table
