--- a/coraldeal/rig/callers.py
+++ b/coraldeal/rig/callers.py
@@ -374,6 +374,8 @@
         self.slack_us = slack_us
         self.zones = zones or sorted({target.zone for target in targets})
         self.by_zone = {zone: [t for t in targets if t.zone == zone] for zone in self.zones}
+        # Whether some target was not ready when last asked; else all are dealt to without a look.
+        self.some_away = False
         self.lines = 0
         self.begun = 0
         self.ended = 0
@@ -389,8 +391,10 @@
     def target(self, caller: int) -> Target | None:
         """Where this caller's connection is dealt to: its zone's nodes first, then any."""
         zone = self.zones[caller % len(self.zones)]
-        near = [target for target in self.by_zone[zone] if target.usable]
-        chosen = near or [target for target in self.targets if target.usable]
+        chosen = self.by_zone[zone] or self.targets
+        if self.some_away:
+            near = [target for target in self.by_zone[zone] if target.usable]
+            chosen = near or [target for target in self.targets if target.usable]
         return chosen[(caller // len(self.zones)) % len(chosen)] if chosen else None
 
     def tenant(self, planned: Planned) -> str:
@@ -402,6 +406,7 @@
         target.refused_at = target.refused_at or now
         if self.to_nodes and now - target.refused_at >= self.notice_us:
             target.ready = False
+            self.some_away = True
 
     def written(self, asking: Asking, row: TryRow) -> bytes:
         """The bytes of one try, as the platform's page says, with the work that the stand-ins read."""
@@ -486,6 +491,7 @@
         """Ask each node now and then whether it takes callers, as the layer in front does."""
         while True:
             await asyncio.gather(*(self._ask_ready(target) for target in self.targets))
+            self.some_away = not all(target.ready for target in self.targets)
             await asyncio.sleep(READY_EVERY)
 
     async def _ask_ready(self, target: Target) -> None:
--- a/coraldeal/rig/standins.py
+++ b/coraldeal/rig/standins.py
@@ -48,8 +48,8 @@
     """One connection at a server."""
 
     __slots__ = (
-        "asked", "buffer", "closing", "delay", "first_us", "fresh", "idle", "late", "row", "server",
-        "shed", "transport", "zone",
+        "asked", "buffer", "closing", "delay", "first_us", "fresh", "idle", "idle_until", "late", "row",
+        "server", "shed", "transport", "zone",
     )  # fmt: skip
 
     def __init__(self, server: StandIn, zone: str, delay: float) -> None:
@@ -62,6 +62,8 @@
         self.row: AttemptRow | None = None
         self.asked = -1
         self.fresh = True
+        # When it is closed if no request comes; 0: one is open.
+        self.idle_until = 0.0
         self.idle: asyncio.TimerHandle | None = None
         self.shed = False
         self.closing = False
@@ -196,8 +198,7 @@
         else:
             body, head = b"", b"HTTP/1.1 500 Internal Server Error\r\n"
         data = b"%b%bContent-Length: %d\r\n\r\n%b" % (head, report, len(body), body)
-        chance = crc32(f"{server.seed} {row.id} {row.server}".encode()) / 2**32
-        if verdict is Verdict.SERVED and chance < fault.share:
+        if fault.share and verdict is Verdict.SERVED and _chance(server, row.id) < fault.share:
             if fault.spoil in SPOILT:
                 row.how = "spoilt"
             data = spoil(fault.spoil, data, body)
@@ -262,17 +263,34 @@
         wait = self.server.idle_us
         if fault.idle_most_us:
             self.server.draws += 1
-            chance = crc32(f"{self.server.seed} {self.server.name} {self.server.draws}".encode()) / 2**32
+            chance = _chance(self.server, str(self.server.draws))
             spread = fault.idle_least_us + int(chance * (fault.idle_most_us - fault.idle_least_us))
             wait = min(wait, spread) if wait else spread
-        self._stir()
-        if wait:
-            self.idle = self.server.loop.call_later(wait / 1e6, self._close)
+        self.idle_until = self.server.loop.time() + wait / 1e6 if wait else 0.0
+        if wait and (self.idle is None or self.idle.when() > self.idle_until):
+            self._watch_idle()
 
     def _stir(self) -> None:
+        """A request is open, or the connection has gone: the timer finds nothing to do."""
+        self.idle_until = 0.0
+
+    def _watch_idle(self) -> None:
+        """One timer a connection, set anew when it comes: one for each request cost more than the request."""
         if self.idle is not None:
             self.idle.cancel()
-            self.idle = None
+        self.idle = self.server.loop.call_at(self.idle_until, self._idle_over)
+
+    def _idle_over(self) -> None:
+        self.idle = None
+        if self.idle_until > self.server.loop.time():
+            self._watch_idle()
+        elif self.idle_until:
+            self._close()
+
+
+def _chance(server: StandIn, name: str) -> float:
+    """From 0 to 1, the same for the same seed, server and name."""
+    return crc32(f"{server.seed} {server.name} {name}".encode()) / 2**32
 
 
 def _deadline_us(text: bytes) -> int:
