One way to wait for a time of the rig's clock and one to read a process's CPU

Found on reading the whole change again: the wait until a step's time stood in run.py, child.py and callers.py, the CPU seconds of a process in run.py and child.py, and `Run.play` read clocks at its start whose values nobody used.

Change: `clock.sleep_until` and `clock.own_cpu_s` serve all of them. Nothing else behaves differently; the node is unchanged.

--- a/coraldeal/rig/callers.py
+++ b/coraldeal/rig/callers.py
@@ -15,7 +15,7 @@
 from zlib import crc32
 
 from coraldeal.rig.books import Book, LateRow, TryRow
-from coraldeal.rig.clock import now_us
+from coraldeal.rig.clock import now_us, sleep_until
 from coraldeal.rig.experiment import Load, TrackSpec
 from coraldeal.rig.load import Planned
 from coraldeal.rig.ready import is_ready
@@ -454,13 +454,13 @@
             if sent == 64:
                 # Answers are to be read meanwhile, or they would look late.
                 await asyncio.sleep(0)
-        await self._sleep_until(until_us)
+        await sleep_until(until_us)
 
     async def closed_loop(
         self, part: list[tuple[int, Planned]], callers: int, start_us: int, until_us: int
     ) -> None:
         """So many callers that ask again as soon as they are answered."""
-        await self._sleep_until(start_us)
+        await sleep_until(start_us)
         numbers = iter(range(1 << 60))
 
         def ask(*_: object) -> None:
@@ -481,11 +481,7 @@
 
         for _ in range(callers):
             ask()
-        await self._sleep_until(until_us)
-
-    async def _sleep_until(self, at_us: int) -> None:
-        while (now := now_us()) < at_us:
-            await asyncio.sleep((at_us - now) / 1e6)
+        await sleep_until(until_us)
 
     async def watch_ready(self) -> None:
         """Ask each node now and then whether it takes callers, as the layer in front does."""
--- a/coraldeal/rig/child.py
+++ b/coraldeal/rig/child.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import resource
 import sys
 from collections import Counter
 from collections.abc import Callable
@@ -14,7 +13,7 @@
 from coraldeal.rig import clock
 from coraldeal.rig.books import Book, LateRow
 from coraldeal.rig.callers import LATE_US, Asking, Front, Target
-from coraldeal.rig.clock import now_us
+from coraldeal.rig.clock import now_us, own_cpu_s, sleep_until
 from coraldeal.rig.experiment import Experiment, Load, TierSpec
 from coraldeal.rig.jobs import (
     Begin,
@@ -101,10 +100,10 @@
         return msgspec.json.decode(line, type=Order) if line.strip() else Stop()
 
     def begun(self) -> None:
-        self.used = _cpu()
+        self.used = own_cpu_s()
 
     def ended(self) -> None:
-        self.book.cpu_s = _cpu() - self.used
+        self.book.cpu_s = own_cpu_s() - self.used
 
     async def tell_progress(self, progress: Callable[[], Progress]) -> None:
         """Now and then how it stands, and whether this loop itself ran late."""
@@ -121,11 +120,6 @@
                 tell(progress())
 
 
-def _cpu() -> float:
-    used = resource.getrusage(resource.RUSAGE_SELF)
-    return used.ru_utime + used.ru_stime
-
-
 async def _orders() -> asyncio.StreamReader:
     reader = asyncio.StreamReader(limit=1 << 28)
     loop = asyncio.get_running_loop()
@@ -246,9 +240,7 @@
             standin = self.standins.get(step.who)
             if standin is None:
                 continue
-            wait = (start_us + step.at_us - now_us()) / 1e6
-            if wait > 0:
-                await asyncio.sleep(wait)
+            await sleep_until(start_us + step.at_us)
             await self._do(standin, step)
 
     async def _do(self, standin: StandIn, step: Step) -> None:
--- a/coraldeal/rig/clock.py
+++ b/coraldeal/rig/clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import resource
 import select
 import selectors
 import time
@@ -16,6 +17,18 @@
     return time.monotonic_ns() // 1000
 
 
+async def sleep_until(at_us: int) -> None:
+    """Until this time of the rig's clock; not at all where it has gone by."""
+    while (now := now_us()) < at_us:
+        await asyncio.sleep((at_us - now) / 1e6)
+
+
+def own_cpu_s() -> float:
+    """CPU seconds that this process has used."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return used.ru_utime + used.ru_stime
+
+
 class _Precise(selectors.EpollSelector):
     """epoll waits in whole milliseconds, rounded up: an answer due in 5.0 ms would go out after 5.6.
 
--- a/coraldeal/rig/run.py
+++ b/coraldeal/rig/run.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import os
-import resource
 import signal
 import socket
 import sys
@@ -21,7 +20,7 @@
 
 from coraldeal.rig.books import Book, LateRow, read_book
 from coraldeal.rig.child import place_of
-from coraldeal.rig.clock import now_us
+from coraldeal.rig.clock import now_us, own_cpu_s, sleep_until
 from coraldeal.rig.experiment import Experiment, ExperimentError, Variant
 from coraldeal.rig.jobs import (
     Begin,
@@ -154,8 +153,6 @@
         """The whole run. Raises ExperimentError where it can't begin; interrupted, it keeps what there is."""
         self.folder.mkdir(parents=True, exist_ok=True)
         program = program_of(self.variant, self.folder)
-        whole = True
-        before, machine = _own_cpu(), _machine_ticks()
         try:
             ports = await self._start_servers()
             await self._start_lists(ports)
@@ -166,7 +163,7 @@
             self.end_us = self.start_us + int(self.experiment.seconds * 1e6)
             for child in self.children:
                 child.tell(Begin(self.start_us, self.end_us))
-            before, machine = _own_cpu(), _machine_ticks()
+            before, machine = own_cpu_s(), _machine_ticks()
             for node in self.nodes:
                 node.cpu_before = node.figures()[0]
             self.tasks += [
@@ -185,7 +182,7 @@
                 self._count(node)
         finally:
             await self._end()
-        played = self._gathered(whole, _own_cpu() - before)
+        played = self._gathered(whole, own_cpu_s() - before)
         busy, stolen = (now - then for now, then in zip(_machine_ticks(), machine, strict=True))
         played.stolen = stolen / (busy + stolen) if busy + stolen else 0.0
         return played
@@ -308,9 +305,7 @@
         """What happens to nodes and lists, and what the list tells of servers."""
         layers = {name: layer for layer, names in enumerate(server_names(self.experiment)) for name in names}
         for step in self.steps:
-            wait = (self.start_us + step.at_us - now_us()) / 1e6
-            if wait > 0:
-                await asyncio.sleep(wait)
+            await sleep_until(self.start_us + step.at_us)
             if step.who in layers:
                 listing = self.listings[layers[step.who]]
                 if step.what == "kill":
@@ -442,11 +437,6 @@
         )
 
 
-def _own_cpu() -> float:
-    used = resource.getrusage(resource.RUSAGE_SELF)
-    return used.ru_utime + used.ru_stime
-
-
 def _machine_ticks() -> tuple[int, int]:
     """Ticks that the whole machine was busy, and those that its host gave to others."""
     try:
