--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -21,6 +21,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import islice
 from zlib import crc32
@@ -77,10 +78,12 @@
 class TrackState:
     """What is learned of a track, for the life of the instance."""
 
-    __slots__ = ("answers", "calm", "mean", "median", "slow", "track", "useful_us", "usual_left")
+    __slots__ = ("answers", "calm", "max_trips", "mean", "median", "slow", "track", "useful_us", "usual_left")
 
-    def __init__(self, track: Track) -> None:
+    def __init__(self, track: Track, max_trips: int) -> None:
+        # An inquiry keeps this object, and so the rules that it came with, when the settings change.
         self.track = track
+        self.max_trips = max_trips
         self.useful_us = track.patience_us if track.late_payoff > 0 else track.expected_time_us
         # Latencies in microseconds: the median, the mean, and a slow one (nine in ten are faster).
         self.median = self.useful_us / 8
@@ -91,6 +94,15 @@
         self.calm = self.useful_us / 6
         self.usual_left = 0
 
+    def under(self, track: Track, max_trips: int) -> TrackState:
+        """What was learned, under other rules of the same track."""
+        if track == self.track and max_trips == self.max_trips:
+            return self
+        other = TrackState(track, max_trips)
+        for name in ("answers", "calm", "mean", "median", "slow"):
+            setattr(other, name, getattr(self, name))
+        return other
+
     def learn(self, latency: int, answered: bool) -> None:
         """Move the two quantiles a small step towards what a trip took; one without answer counts as slow."""
         self.slow *= 1.036 if latency > self.slow else 0.996
@@ -203,35 +215,14 @@
         self.host = host
         self.seed = seed
         self.draws = 0
-        # Settings, as the few figures that decisions use.
-        payoffs = [track.payoff for track in settings.tracks]
-        self.core_worth = sum(payoffs) / max(1, len(payoffs))
-        self.tracks = {t.name: TrackState(t) for t in settings.tracks}
-        self.front = settings.layer == 0
-        self.max_trips = settings.max_trips
-        self.may_withdraw = settings.may_withdraw
-        self.max_pause = settings.max_pause_us if settings.may_advise_pause else 0
-        self.margin = max(2 * settings.tick_us, 5_000)
-        self.token_wait = max(2 * settings.tick_us, 10_000)
-        self.zone = settings.zone
-        can_look = settings.may_probe and not {"inflight", "queue"}.isdisjoint(settings.report_fields)
-        self.looks_pay = can_look and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
-        self.instances = settings.instances
-        # Steps of the golden section fall evenly, however nodes are numbered over zones.
-        self.place = settings.self_index * 0.6180339887 % 1.0
-        # The list's service can take one call of every node in some seconds, however many they are: first
-        # calls are spread over most of the time in which the rules want one.
-        self.list_wait_most = settings.ask_every_us * 4 // 5
-        self.list_wait_least = self.list_wait = settings.ask_every_us // 10
-        self.beyond = settings.beyond_share_payoff
-        self.share_rate = {t.name: t.quota_per_s / settings.instances / SECOND for t in settings.tenants}
-        self.promised = sum(self.share_rate.values())
-        self.warm_after = settings.warm_after_us
-        self.cold_from = settings.cold_from
-        self.fall_multiple = settings.fall_multiple
-        self.fall_us = settings.fall_us
+        self.tracks: dict[str, TrackState] = {}
+        self._take(settings)
+        self.list_wait = self.list_wait_least
         # State of the instance. Whether clients were seen to mark later tries.
         self.marked = False
+        # What the list says, who is left out by hand and since when, and the rest: who may be sent to.
+        self.listed: dict[ServerId, Entry] = {}
+        self.left_out: dict[ServerId, int] = {}
         self.servers: dict[ServerId, Server] = {}
         self.width = 2
         self.ranked: list[Server] = []
@@ -277,6 +268,47 @@
         if settings.list_is_asked:
             host.wake("list", int(self._chance() * self.list_wait_most))
 
+    # Settings.
+
+    def _take(self, settings: Settings) -> None:
+        """Settings, as the few figures that decisions use."""
+        payoffs = [track.payoff for track in settings.tracks]
+        self.core_worth = sum(payoffs) / max(1, len(payoffs))
+        known, most = self.tracks, settings.max_trips
+        self.tracks = {
+            t.name: known[t.name].under(t, most) if t.name in known else TrackState(t, most)
+            for t in settings.tracks
+        }
+        self.front = settings.layer == 0
+        self.may_withdraw = settings.may_withdraw
+        self.max_pause = settings.max_pause_us if settings.may_advise_pause else 0
+        self.margin = max(2 * settings.tick_us, 5_000)
+        self.token_wait = max(2 * settings.tick_us, 10_000)
+        self.zone = settings.zone
+        can_look = settings.may_probe and not {"inflight", "queue"}.isdisjoint(settings.report_fields)
+        self.looks_pay = can_look and settings.probe_price * MOST_LOOKS <= LOOK_PRICE
+        self.instances = settings.instances
+        # Steps of the golden section fall evenly, however nodes are numbered over zones.
+        self.place = settings.self_index * 0.6180339887 % 1.0
+        # The list's service can take one call of every node in some seconds, however many they are: first
+        # calls are spread over most of the time in which the rules want one.
+        self.list_wait_most = settings.ask_every_us * 4 // 5
+        self.list_wait_least = settings.ask_every_us // 10
+        self.beyond = settings.beyond_share_payoff
+        self.share_rate = {t.name: t.quota_per_s / settings.instances / SECOND for t in settings.tenants}
+        self.promised = sum(self.share_rate.values())
+        self.warm_after = settings.warm_after_us
+        self.cold_from = settings.cold_from
+        self.fall_multiple = settings.fall_multiple
+        self.fall_us = settings.fall_us
+
+    def settings_changed(self, settings: Settings) -> None:
+        """Other settings hold for what arrives from now on; what was learned stays where its track does."""
+        self._take(settings)
+        full = (1.0, self.host.now)
+        self.share_tokens = {name: self.share_tokens.get(name, full) for name in self.share_rate}
+        self._draw_servers(self.host.now)
+
     # An inquiry's path.
 
     def inquiry_arrived(
@@ -427,18 +459,57 @@
         now = self.host.now
         if kind is not ListKind.REMEMBERED:
             self.list_wait = self.list_wait_least
-        told: dict[ServerId, Server] = {} if kind is not ListKind.CHANGES else dict(self.servers)
-        mean_cap = round(sum(s.cap for s in self.rotation) / len(self.rotation)) if self.rotation else 2
+        if kind is not ListKind.CHANGES:
+            self.listed = {}
         for entry in entries:
-            if entry.condition is not Condition.READY:
-                told.pop(entry.server, None)
+            self.listed[entry.server] = entry
+            if entry.condition is Condition.GONE:
+                del self.listed[entry.server]
+        self._draw_servers(now)
+
+    def leave_out(self, server: ServerId) -> bool:
+        """By hand: nothing goes there until it is put back, whatever the list says. False: unknown."""
+        if server in self.listed:
+            self.left_out.setdefault(server, self.host.now)
+            self._draw_servers(self.host.now)
+        return server in self.left_out
+
+    def put_back(self, server: ServerId) -> bool:
+        """By hand: the list alone speaks for this server again; False: unknown.
+
+        It may have been restarted meanwhile, and the list may tell so later: it is taken for just started.
+        """
+        now = self.host.now
+        since = self.left_out.pop(server, None)
+        entry = self.listed.get(server)
+        if since is not None and entry is not None:
+            if entry.born_us < since:
+                self.listed[server] = replace(entry, born_us=now)
+            self._draw_servers(now)
+        return since is not None or entry is not None
+
+    def may_send(self, server: ServerId) -> bool:
+        """Whether a trip chosen before may still begin: it may have left the rotation since."""
+        return server in self.servers
+
+    def skipped(self) -> int:
+        """How many of the list are avoided now: left out, draining or at rest."""
+        now = self.host.now
+        return len(self.listed) - sum(server.rest_until <= now for server in self.servers.values())
+
+    def _draw_servers(self, now: int) -> None:
+        """Who may be sent to: what the list calls ready and nobody left out."""
+        mean_cap = round(sum(s.cap for s in self.rotation) / len(self.rotation)) if self.rotation else 2
+        told = {}
+        for name, entry in self.listed.items():
+            if entry.condition is not Condition.READY or name in self.left_out:
                 continue
-            known = self.servers.get(entry.server)
+            known = self.servers.get(name)
             if known is None or known.born < entry.born_us:
                 # A restart under the same id is a new, cold server. A whole trip from each node at once could
                 # push it over: by chance, half of one.
                 known = Server(entry, mean_cap, self._chance(), self.warm_after, now)
-            told[entry.server] = known
+            told[name] = known
         self.servers = told
         self.ranked = self._ranked(list(told.values()))
         self._draw_rotation(now)
@@ -634,7 +705,7 @@
         # A silent server must not hold the inquiry to its end, if it could go elsewhere after that.
         track = inquiry.state.track
         patient = int(3 * inquiry.state.slow)
-        repeatable = track.effect is not Effect.IRREVERSIBLE and inquiry.trips + 1 < self.max_trips
+        repeatable = track.effect is not Effect.IRREVERSIBLE and inquiry.trips + 1 < inquiry.state.max_trips
         if repeatable and timeout - patient > inquiry.state.median:
             timeout = patient
         trip = Trip(inquiry, server, now)
@@ -782,7 +853,7 @@
 
     def _may_go_again(self, inquiry: Inquiry, now: int) -> bool:
         """Whether rules and time allow a further trip."""
-        if inquiry.trips >= self.max_trips or inquiry.end - now < inquiry.state.median:
+        if inquiry.trips >= inquiry.state.max_trips or inquiry.end - now < inquiry.state.median:
             return False
         if inquiry.ran_on is None or inquiry.state.track.effect is Effect.REDOABLE:
             return True
--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import resource
 from collections.abc import Mapping
@@ -82,8 +83,17 @@
     def whole(self, key: str) -> int:
         return int(self._get(key, (int,), "a whole number"))
 
+    def above_zero(self, key: str) -> int:
+        value = self.whole(key)
+        if value <= 0:
+            raise SettingsError(f"setting {self.path}{key} is not above 0")
+        return value
+
     def number(self, key: str) -> float:
-        return float(self._get(key, (int, float), "a number"))
+        value = float(self._get(key, (int, float), "a number"))
+        if not math.isfinite(value):
+            raise SettingsError(f"setting {self.path}{key} is not a finite number")
+        return value
 
     def flag(self, key: str) -> bool:
         return bool(self._get(key, (bool,), "true or false"))
@@ -117,8 +127,8 @@
         effect=effect,
         group=reader.word("group", GROUPS) if labelled else Group.ALL,
         window_us=reader.micros("window_ns") if labelled else 0,
-        expected_time_us=reader.micros("expected_time_ns"),
-        patience_us=reader.micros("patience_ns"),
+        expected_time_us=max(1, reader.above_zero("expected_time_ns") // 1000),
+        patience_us=max(1, reader.above_zero("patience_ns") // 1000),
         payoff=reader.number("payoff"),
         late_payoff=reader.number("late_payoff"),
     )
@@ -143,7 +153,7 @@
 def _settings(top: _Reader, track_defaults: dict[str, Any] | None = None) -> Settings:
     bounds, rules, reporting = top.part("bounds"), top.part("rules"), top.part("reporting")
     asked = top.word("discovery", {"ask": True, "push": False})
-    return Settings(
+    settings = Settings(
         layer=top.whole("layer"),
         self_index=top.whole("self_index"),
         instances=max(1, top.whole("instances")),
@@ -154,7 +164,7 @@
         beyond_share_payoff=top.number("beyond_share_payoff"),
         list_is_asked=asked,
         ask_every_us=rules.micros("ask_every_ns") if asked else 0,
-        max_trips=bounds.whole("max_trips"),
+        max_trips=bounds.above_zero("max_trips"),
         may_withdraw=bounds.flag("cancel"),
         may_probe=bounds.flag("probing"),
         probe_price=top.part("tariffs").number("probe"),
@@ -166,6 +176,10 @@
         fall_us=rules.micros("fall_ns"),
         report_fields=[str(name) for name in reporting.values.get("fields") or []],
     )
+    names = [track.name for track in settings.tracks]
+    if twice := [name for place, name in enumerate(names) if name in names[:place]]:
+        raise SettingsError(f"setting {top.path}tracks names {twice[0]!r} twice")
+    return settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,12 +189,16 @@
     name: str
     host: str
     port: int
+    # The operators' door; None: there is none.
+    operator: tuple[str, int] | None
     # None: there is no discovery, the known list stands for good.
     discovery: str | None
     seed: int
     sockets: int
     # The list of servers as this node last had it, in discovery's form.
     known: Any
+    # The configuration as it was given, without that list.
+    given: Mapping[str, Any]
     conn_idle_us: int
     connect_timeout_us: int
     settings: Settings
@@ -193,6 +211,27 @@
     return host.strip("[]"), int(port)
 
 
+def lacking(given: Any, before: Any, path: str = "") -> str:
+    """The path of the first key that a configuration lacks and the one before it had; empty: it has all.
+
+    What one kind of track alone must have, others may lack: in a list only what all items had is wanted.
+    """
+    if isinstance(before, dict) and isinstance(given, dict):
+        for key, value in before.items():
+            here = f"{path}.{key}" if path else key
+            if key not in given:
+                return here
+            if found := lacking(given[key], value, here):
+                return found
+    elif isinstance(before, list) and isinstance(given, list):
+        items = [item for item in before if isinstance(item, dict)]
+        wanted = {key: None for key in (items[0] if items else {}) if all(key in item for item in items)}
+        for place, item in enumerate(given):
+            if found := lacking(item, wanted, f"{path}[{place}]"):
+                return found
+    return ""
+
+
 def _seed(top: _Reader) -> int:
     if not top.has("seed"):
         return int.from_bytes(os.urandom(8), "big")
@@ -204,7 +243,7 @@
 
 
 def read_node_config(path: str, env: Mapping[str, str]) -> NodeConfig:
-    """The configuration file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY overrule it where they are set.
+    """The configuration file; PROXY_NAME, _LISTEN, _DISCOVERY and _OPERATOR overrule it where set.
 
     They tell of the start: of a file that was replaced since, `env` without PROXY_DISCOVERY is to be given.
     """
@@ -220,7 +259,7 @@
     """A configuration already parsed, checked and given its defaults."""
     if isinstance(values, dict):
         values = dict(values)
-        told = {key: env.get(f"PROXY_{key.upper()}") for key in ("name", "listen", "discovery")}
+        told = {key: env.get(f"PROXY_{key.upper()}") for key in ("name", "listen", "discovery", "operator")}
         values.update({key: value for key, value in told.items() if value})
     top = _Reader(values)
     host, port = _address(top.text("listen"), "listen")
@@ -235,10 +274,12 @@
         name=top.text("name") if top.has("name") else "node",
         host=host,
         port=port,
+        operator=_address(top.text("operator"), "operator") if top.has("operator") else None,
         discovery=top.text("discovery") if top.has("discovery") else None,
         seed=_seed(top),
         sockets=sockets,
         known=top.part("known").values if top.has("known") else None,
+        given={key: value for key, value in top.values.items() if key != "known"},
         conn_idle_us=bounds.micros("conn_idle_ns"),
         connect_timeout_us=bounds.micros("connect_timeout_ns"),
         settings=_settings(settings, TRACK_DEFAULTS),
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -16,7 +16,8 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
-from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call
+from coraldeal.net.figures import Figures
+from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
 
 log = logging.getLogger(__name__)
 
@@ -110,7 +111,9 @@
         is_ready: Callable[[], bool],
         is_crowded: Callable[[], bool],
         make_room: Callable[[], None],
+        figures: Figures,
     ) -> None:
+        self.figures = figures
         # The patience of each track.
         self.tracks = tracks
         self.live = live
@@ -187,13 +190,19 @@
             call = await self._read(request)
         except BadCall as bad:
             self._turned_away(bad.status)
+            track = track_of(request.raw_path)
+            if track in self.tracks:
+                self.figures.ended(track, bad.status)
             plain = (("Content-Type", "text/plain"),)
             return self._response(Answer(bad.status, f"{bad}\n".encode(), plain), close=True)
         if self.is_crowded():
             # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
+            self.figures.ended(call.track, 503)
             return self._response(Answer(503), close=True)
         patience = self.tracks[call.track] if call.left_us is None else call.left_us
-        return self._response(await self.live(call, patience, _unread_us(request)))
+        answer = await self.live(call, patience, _unread_us(request))
+        self.figures.ended(call.track, answer.status)
+        return self._response(answer)
 
     async def _read(self, request: web.BaseRequest) -> Call:
         """A request with its body, which must be short, come soon and end in one way only."""
--- /dev/null
+++ b/coraldeal/net/desk.py
@@ -0,0 +1,49 @@
+"""What the operators' door asks of a node, in the operators' names. Imported only where there is a door."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from coraldeal.admin.listener import Door
+from coraldeal.interface import ServerId
+
+if TYPE_CHECKING:
+    from coraldeal.net.node import Node
+
+
+class NodeDesk:
+    """One node, as its operators see it."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    def can_serve(self) -> bool:
+        return self.node.can_serve()
+
+    def figures(self) -> dict[str, Any]:
+        node = self.node
+        counts = node.figures
+        return {
+            "passed": counts.satisfied,
+            "dropped": counts.deferred,
+            "bad_gateway": counts.given_up,
+            "upstream_tries": counts.trips,
+            "in_progress": len(node.inquiries.in_hand),
+            "known_servers": len(node.balancer.listed),
+            "skipped_servers": node.balancer.skipped(),
+            "loads": counts.loads,
+            "load_errors": counts.kept,
+        }
+
+    def leave_out(self, server: ServerId) -> bool:
+        return self.node.balancer.leave_out(server)
+
+    def put_back(self, server: ServerId) -> bool:
+        return self.node.balancer.put_back(server)
+
+
+async def open_door(node: Node, address: tuple[str, int]) -> Door:
+    """The door of a node, open."""
+    door = Door(NodeDesk(node))
+    await door.open(*address)
+    return door
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -11,18 +11,23 @@
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
+from typing import TYPE_CHECKING
 from zlib import crc32
 
 from coraldeal.balance import Balancer
-from coraldeal.config import NodeConfig, SettingsError
-from coraldeal.interface import Condition, Entry, ListKind
+from coraldeal.config import NodeConfig, SettingsError, lacking
+from coraldeal.interface import Condition, Entry, ListKind, ServerId
 from coraldeal.net.callers import Callers
 from coraldeal.net.discovery import Discovery
+from coraldeal.net.figures import Figures
 from coraldeal.net.host import LoopHost, clock
 from coraldeal.net.inquiry import Inquiries
 from coraldeal.net.servers import Servers
 from coraldeal.net.wire import ServerList, read_list
 
+if TYPE_CHECKING:
+    from coraldeal.admin.listener import Door
+
 log = logging.getLogger(__name__)
 
 # Descriptors kept for discovery, probes, logs and a rush of callers: so many, or a quarter of a small limit.
@@ -37,7 +42,7 @@
 REWATCH_LEAST, REWATCH_MOST = 0.25, 4.0
 
 # What a configuration read anew can't change while the node runs.
-RESTART_KEYS = ("name", "host", "port", "conn_idle_us", "connect_timeout_us", "settings")
+RESTART_KEYS = ("name", "host", "port", "operator")
 
 
 class Phase(enum.Enum):
@@ -59,11 +64,21 @@
         self.ending = asyncio.Event()
         self._share_out(config.sockets)
         settings = config.settings
-        self.servers = Servers(clock, config.conn_idle_us, config.connect_timeout_us, self._make_room)
+        self.figures = Figures(track.name for track in settings.tracks)
+        self.servers = Servers(
+            clock,
+            config.conn_idle_us,
+            config.connect_timeout_us,
+            self._make_room,
+            self._may_send,
+            self.figures,
+        )
         self.inquiries = Inquiries(self.servers)
         patience = {track.name: track.patience_us for track in settings.tracks}
         live = self.inquiries.live
-        self.callers = Callers(patience, live, self._is_ready, self._is_crowded, self._make_room)
+        self.callers = Callers(
+            patience, live, self._is_ready, self._is_crowded, self._make_room, self.figures
+        )
         # Unix time less this is the node's clock.
         self.offset_us = time.time_ns() // 1000 - clock()
         read = partial(read_list, offset_us=self.offset_us)
@@ -73,6 +88,7 @@
         self.host.balancer = self.inquiries.balancer = self.balancer
         self.rewatch_wait = REWATCH_LEAST
         self.draws = 0
+        self.door: Door | None = None
 
     async def run(self) -> None:
         """The node's whole life."""
@@ -88,6 +104,10 @@
         if not self.config.settings.list_is_asked:
             self.discovery.follow()
         await self.callers.listen(self.config.host, self.config.port)
+        if self.config.operator is not None:
+            from coraldeal.net.desk import open_door
+
+            self.door = await open_door(self, self.config.operator)
         self._watch_lag(loop.time())
         # What was made so far stays: it need not be looked through again at each collection.
         gc.freeze()
@@ -102,15 +122,29 @@
         old = self.config
         try:
             new = self.read_anew()
-        except SettingsError as error:
+            if lacks := lacking(new.given, old.given):
+                raise SettingsError(f"setting {lacks} is missing, and the one before had it")
+        except Exception as error:
+            # Whatever is wrong with a file, the node goes on by the one that it has.
+            self.figures.kept += 1
             log.error("configuration kept", extra={"pairs": {"why": error}})
             return
+        self.figures.loads += 1
+        self.config = replace(new, **{key: getattr(old, key) for key in RESTART_KEYS})
         self._share_out(new.sockets)
+        if new.settings != old.settings:
+            # Inquiries in hand keep the rules that they came with.
+            self.balancer.settings_changed(new.settings)
+            self.callers.tracks = {track.name: track.patience_us for track in new.settings.tracks}
+            self.figures.know(self.callers.tracks)
+            self.host.with_reports = bool(new.settings.report_fields)
+        self.servers.go_by(new.conn_idle_us, new.connect_timeout_us)
         if new.discovery != old.discovery:
             self.discovery.move(new.discovery)
+        if not new.settings.list_is_asked:
+            self.discovery.follow()
         # All else shapes what was made at the start.
         waiting = [key for key in RESTART_KEYS if getattr(new, key) != getattr(old, key)]
-        self.config = replace(old, discovery=new.discovery, sockets=new.sockets)
         pairs = {"discovery": new.discovery, "sockets": new.sockets, "needs_restart": ",".join(waiting)}
         log.info("configuration read anew", extra={"pairs": pairs})
 
@@ -132,6 +166,8 @@
         self.callers.begin_closing()
         await self._while_held(end)
         await self.callers.close()
+        if self.door is not None:
+            self.door.close()
         await self.discovery.close()
         await self.servers.close()
         self._enter(Phase.ENDED)
@@ -146,6 +182,10 @@
         pairs = {"node": self.config.name, "phase": phase.value, "in_hand": len(self.inquiries.in_hand)}
         log.info("phase", extra={"pairs": pairs})
 
+    def can_serve(self) -> bool:
+        """Whether this process answers inquiries now."""
+        return self.phase is Phase.READY
+
     def _is_ready(self) -> bool:
         return self.phase is Phase.READY
 
@@ -158,6 +198,9 @@
         due = loop.time() + LAG_EVERY
         loop.call_at(due, self._watch_lag, due)
 
+    def _may_send(self, server: ServerId) -> bool:
+        return self.balancer.may_send(server)
+
     # Descriptors.
 
     def _share_out(self, sockets: int) -> None:
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -15,6 +15,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from coraldeal.interface import Condition, Outcome, ServerId
+from coraldeal.net.figures import Figures
 from coraldeal.net.wire import BODY_MOST, Listed, RawHeaders, TripEnd, probe_bytes, read_answer, read_report
 
 # The part of a server's idle limit after which a connection is not used again, and how often, as a part of
@@ -147,20 +148,32 @@
     """All servers that the list has named, and the connections to them."""
 
     def __init__(
-        self, clock: Callable[[], int], idle_us: int, connect_timeout_us: int, make_room: Callable[[], None]
+        self,
+        clock: Callable[[], int],
+        idle_us: int,
+        connect_timeout_us: int,
+        make_room: Callable[[], None],
+        may_send: Callable[[ServerId], bool],
+        figures: Figures,
     ) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.targets: dict[ServerId, Target] = {}
         self.make_room = make_room
+        self.may_send = may_send
+        self.figures = figures
         # Connections on their way, and there.
         self.connecting = 0
         self.open = 0
+        self.go_by(idle_us, connect_timeout_us)
+        self.sweeper = self.loop.call_later(self.sweep_every, self._sweep)
+
+    def go_by(self, idle_us: int, connect_timeout_us: int) -> None:
+        """After how long a server closes an idle connection, and how long a new one may take."""
         self.connect_wait = connect_timeout_us / 1e6
         self.probe_wait_us = connect_timeout_us + int(PROBE_WAIT * 1e6)
         self.keep_idle = IDLE_PART * idle_us / 1e6
         self.sweep_every = SWEEP_PART * idle_us / 1e6
-        self.sweeper = self.loop.call_later(self.sweep_every, self._sweep)
 
     async def close(self) -> None:
         self.sweeper.cancel()
@@ -221,7 +234,9 @@
         target.listed = False
         target.close_idle()
 
-    async def trip(self, server: ServerId, message: bytes, timeout_us: int) -> TripEnd:
+    async def trip(
+        self, server: ServerId, message: bytes, timeout_us: int, is_probe: bool = False
+    ) -> TripEnd:
         """One trip, from its connection to its end; cancelling it is stopping it."""
         started = self.clock()
         target = self.targets.get(server)
@@ -237,9 +252,14 @@
                 connection.set_response_params(
                     auto_decompress=False, read_until_eof=True, read_timeout=STALL, read_bufsize=BODY_MOST
                 )
+                if not self.may_send(server):
+                    # It drains or was left out between the choice and the first byte.
+                    return TripEnd(Outcome.MOOT, self.clock() - started)
                 handed_over = self._write(connection, message)
                 if not handed_over:
                     raise ConnectionError("closed before the first byte")
+                if not is_probe:
+                    self.figures.trips += 1
                 status, fields, raw, body = await self._read(connection)
             report = read_report(fields.get("Srv-Load"))
             outcome, answer = read_answer(status, fields, raw, body)
@@ -264,7 +284,8 @@
         target = self.targets.get(server)
         if target is None:
             return TripEnd(Outcome.CONNECT_FAILED, 0)
-        end = await self.trip(server, probe_bytes(target.address, with_report), self.probe_wait_us)
+        message = probe_bytes(target.address, with_report)
+        end = await self.trip(server, message, self.probe_wait_us, is_probe=True)
         if end.outcome is Outcome.SATISFIED and with_report and end.answer is not None:
             text = end.answer.body.decode("latin-1").strip()
             return TripEnd(end.outcome, end.latency_us, read_report(text) or end.report)
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -122,11 +122,24 @@
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
+def track_of(target: str) -> str:
+    """The first part of the path."""
+    return path_of(target).partition("?")[0].lstrip("/").partition("/")[0]
+
+
+def path_of(target: str) -> str:
+    """A target in absolute form without its scheme and host."""
+    if target[:7].lower() == "http://":
+        return "/" + target[7:].partition("/")[2]
+    return target
+
+
 def read_call(
     method: str, target: str, fields: Mapping[str, str], raw: RawHeaders, body: bytes, tracks: Collection[str]
 ) -> Call:
     """An inquiry from a caller's request."""
-    track = target.partition("?")[0].lstrip("/").partition("/")[0]
+    target = path_of(target)
+    track = track_of(target)
     if not target.startswith("/") or track not in tracks:
         raise BadCall(404, "the first part of the path names no class of request known here")
     if method not in METHODS:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -94,14 +94,14 @@
 
     # The words of a scenario.
 
+    def settings(self) -> Settings:
+        values = {k + "_us" if isinstance(v, str) and k != "zone" else k: v for k, v in self.given.items()}
+        values = {k: micros(v) if k.endswith("_us") else v for k, v in values.items()}
+        return Settings(tracks=self.tracks, tenants=self.tenants, **values)
+
     def started(self) -> Balancer:
         if self.balancer is None:
-            values = {
-                k + "_us" if isinstance(v, str) and k != "zone" else k: v for k, v in self.given.items()
-            }
-            values = {k: micros(v) if k.endswith("_us") else v for k, v in values.items()}
-            settings = Settings(tracks=self.tracks, tenants=self.tenants, **values)
-            self.balancer = Balancer(self, settings, 7)
+            self.balancer = Balancer(self, self.settings(), 7)
             self.balancer.servers_listed(ListKind.REMEMBERED, self.entries)
         return self.balancer
 
@@ -139,6 +139,19 @@
     def do_told(self, name: str, condition: str, **o: str) -> None:
         self.started().servers_listed(ListKind.CHANGES, [self.entry(name, condition, o)])
 
+    def do_by_hand(self, act: str, name: str, answer: str) -> None:
+        balancer = self.started()
+        known = balancer.leave_out(name) if act == "out" else balancer.put_back(name)
+        assert known == (answer == "yes"), f"answered {known}"
+
+    def do_retune(self, **o: str) -> None:
+        """The tracks are to be given anew behind `retune`; the settings hold from `retuned` on."""
+        self.tracks = []
+        self.given.update({key: int(value) for key, value in o.items()})
+
+    def do_retuned(self) -> None:
+        self.started().settings_changed(self.settings())
+
     def do_list(self, word: str) -> None:
         assert word == "fails"
         self.started().list_failed()
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from coraldeal.interface import Condition, Entry, Outcome
+from coraldeal.net.figures import Figures
 from coraldeal.net.host import clock
 from coraldeal.net.servers import Servers
 from coraldeal.net.wire import Listed, TripEnd
@@ -39,7 +40,9 @@
 class Trips(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.opened = 0
-        self.servers = Servers(clock, 3 * SECOND, SECOND // 5, self.count)
+        self.servers = Servers(
+            clock, 3 * SECOND, SECOND // 5, self.count, lambda server: True, Figures(())
+        )
         self.addAsyncCleanup(self.servers.close)
 
     def count(self) -> None:
