Handover: a second process takes over the listening socket and what the first has learned

The two now meet at a Unix socket in TMPDIR; the newcomer gets the listening descriptor, the list, bans, caps, paces and rates, and the elder sends its callers there with their next answer. Rejected: SO_REUSEPORT alone (a queue each), state in a file (docs/ops.md).

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -218,6 +218,7 @@
         self.tracks: dict[str, TrackState] = {}
         self._take(settings)
         self.list_wait = self.list_wait_least
+        self.part = 1.0
         # State of the instance. Whether clients were seen to mark later tries.
         self.marked = False
         # What the list says, who is left out by hand and since when, and the rest: who may be sent to.
@@ -307,7 +308,13 @@
         self._take(settings)
         full = (1.0, self.host.now)
         self.share_tokens = {name: self.share_tokens.get(name, full) for name in self.share_rate}
-        self._draw_servers(self.host.now)
+        self.draw_servers()
+
+    def take_part(self, part: float) -> None:
+        """This process has such a part of what the node may send to cold servers."""
+        for server in self.servers.values():
+            server.cold_tokens *= min(1.0, part / self.part)
+        self.part = part
 
     # An inquiry's path.
 
@@ -456,7 +463,6 @@
 
     def servers_listed(self, kind: ListKind, entries: list[Entry]) -> None:
         """The list, or changes of it, as told. A server that drains or is gone leaves at once."""
-        now = self.host.now
         if kind is not ListKind.REMEMBERED:
             self.list_wait = self.list_wait_least
         if kind is not ListKind.CHANGES:
@@ -465,13 +471,13 @@
             self.listed[entry.server] = entry
             if entry.condition is Condition.GONE:
                 del self.listed[entry.server]
-        self._draw_servers(now)
+        self.draw_servers()
 
-    def leave_out(self, server: ServerId) -> bool:
+    def leave_out(self, server: ServerId, sure: bool = False) -> bool:
         """By hand: nothing goes there until it is put back, whatever the list says. False: unknown."""
-        if server in self.listed:
+        if sure or server in self.listed:
             self.left_out.setdefault(server, self.host.now)
-            self._draw_servers(self.host.now)
+            self.draw_servers()
         return server in self.left_out
 
     def put_back(self, server: ServerId) -> bool:
@@ -485,7 +491,7 @@
         if since is not None and entry is not None:
             if entry.born_us < since:
                 self.listed[server] = replace(entry, born_us=now)
-            self._draw_servers(now)
+            self.draw_servers()
         return since is not None or entry is not None
 
     def may_send(self, server: ServerId) -> bool:
@@ -497,8 +503,9 @@
         now = self.host.now
         return len(self.listed) - sum(server.rest_until <= now for server in self.servers.values())
 
-    def _draw_servers(self, now: int) -> None:
+    def draw_servers(self) -> None:
         """Who may be sent to: what the list calls ready and nobody left out."""
+        now = self.host.now
         mean_cap = round(sum(s.cap for s in self.rotation) / len(self.rotation)) if self.rotation else 2
         told = {}
         for name, entry in self.listed.items():
@@ -774,7 +781,7 @@
         """A budget of trips for a cold server, by what a warm one is sent; others are taken to send alike."""
         warmth = self.cold_from + (1 - self.cold_from) * (now - server.born) / self.warm_after
         per_server = self.send_rate / max(1, len(self.rotation))
-        rate = 0.5 * self.fall_multiple * warmth * per_server
+        rate = 0.5 * self.fall_multiple * warmth * per_server * self.part
         server.cold_tokens = min(
             max(1.0, rate * self.fall_us / 4), server.cold_tokens + (now - server.cold_at) * rate
         )
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -125,21 +125,57 @@
         self.away: dict[int, int] = {}
         self.told_at = -TELL_EVERY
         self.server = _Server(self._answer, make_room, self._turned_away)
+        # The listening socket, kept open while another process of the node accepts.
+        self.listening: socket.socket | None = None
         self.listener: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listening = socket.socket(family, socket.SOCK_STREAM)
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, port))
+    async def listen(
+        self, host: str, port: int, listening: socket.socket | None = None, shared: bool = False
+    ) -> None:
+        """Take callers, on the socket of the process before where there is one.
+
+        `shared`: a process started later may listen on the same address even if it was not handed the socket.
+        """
+        if listening is None:
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            listening = socket.socket(family, socket.SOCK_STREAM)
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listening.bind((host, port))
+        self.listening = listening
+        await self._accept()
+
+    async def _accept(self) -> None:
+        if self.listening is None or self.listener is not None:
+            return
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(self.server, sock=listening, backlog=ACCEPT_AT_ONCE)
-        listening.listen(BACKLOG)
+        # What the loop closes with its listener is a copy: the queue lives on with the other.
+        self.listener = await loop.create_server(
+            self.server, sock=self.listening.dup(), backlog=ACCEPT_AT_ONCE
+        )
+        self.listening.listen(BACKLOG)
+
+    def descriptor(self) -> int:
+        """What another process needs to accept from the same queue; OSError if it is closed."""
+        if self.listening is None:
+            raise OSError("not listening")
+        return self.listening.fileno()
+
+    def accept(self, on: bool) -> None:
+        """Take new connections, or leave those in the queue to another process that has it."""
+        if on:
+            self.accepting = asyncio.get_running_loop().create_task(self._accept())
+        elif self.listener is not None:
+            self.listener.close()
+            self.listener = None
 
     def stop_listening(self) -> None:
         """No new connections; those that never brought a request are closed."""
-        if self.listener is not None:
-            self.listener.close()
+        self.accept(False)
+        if self.listening is not None:
+            self.listening.close()
+            self.listening = None
         self._close_idle(asked_too=False)
 
     def begin_closing(self) -> None:
--- a/coraldeal/net/desk.py
+++ b/coraldeal/net/desk.py
@@ -36,10 +36,16 @@
         }
 
     def leave_out(self, server: ServerId) -> bool:
-        return self.node.balancer.leave_out(server)
+        known = self.node.balancer.leave_out(server)
+        if known and self.node.succession is not None:
+            self.node.succession.link.left_out(server)
+        return known
 
     def put_back(self, server: ServerId) -> bool:
-        return self.node.balancer.put_back(server)
+        known = self.node.balancer.put_back(server)
+        if known and self.node.succession is not None:
+            self.node.succession.link.put_back(server)
+        return known
 
 
 async def open_door(node: Node, address: tuple[str, int]) -> Door:
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -6,6 +6,7 @@
 import enum
 import gc
 import logging
+import os
 import signal
 import time
 from collections.abc import Callable
@@ -27,6 +28,7 @@
 
 if TYPE_CHECKING:
     from coraldeal.admin.listener import Door
+    from coraldeal.net.succession import Succession
 
 log = logging.getLogger(__name__)
 
@@ -62,6 +64,7 @@
         self.read_anew = read_anew
         self.phase = Phase.STARTING
         self.ending = asyncio.Event()
+        self.part = 1.0
         self._share_out(config.sockets)
         settings = config.settings
         self.figures = Figures(track.name for track in settings.tracks)
@@ -82,13 +85,14 @@
         # Unix time less this is the node's clock.
         self.offset_us = time.time_ns() // 1000 - clock()
         read = partial(read_list, offset_us=self.offset_us)
-        self.discovery = Discovery(config.discovery, read, self._listed, self._list_failed)
+        self.discovery = Discovery(config.discovery, read, self.take_list, self._list_failed)
         self.host = LoopHost(self.inquiries, self.servers, self.discovery, bool(settings.report_fields))
         self.balancer = Balancer(self.host, settings, config.seed)
         self.host.balancer = self.inquiries.balancer = self.balancer
         self.rewatch_wait = REWATCH_LEAST
         self.draws = 0
         self.door: Door | None = None
+        self.succession: Succession | None = None
 
     async def run(self) -> None:
         """The node's whole life."""
@@ -100,21 +104,36 @@
         if self.config.known is not None:
             known = read_list(self.config.known, self.offset_us)
             self.discovery.version = known.version
-            self._listed(known, ListKind.REMEMBERED)
+            self.take_list(known, ListKind.REMEMBERED)
         if not self.config.settings.list_is_asked:
             self.discovery.follow()
-        await self.callers.listen(self.config.host, self.config.port)
-        if self.config.operator is not None:
-            from coraldeal.net.desk import open_door
-
-            self.door = await open_door(self, self.config.operator)
+        await self._listen()
         self._watch_lag(loop.time())
         # What was made so far stays: it need not be looked through again at each collection.
         gc.freeze()
         self._enter(Phase.READY)
+        if self.succession is not None:
+            self.succession.link.serve()
         await self.ending.wait()
         await self._drain()
 
+    async def _listen(self) -> None:
+        """Open for callers and, where the configuration names a door, for operators and a later process."""
+        operator = self.config.operator
+        if operator is None:
+            await self.callers.listen(self.config.host, self.config.port)
+            return
+        from coraldeal.net.desk import open_door
+
+        if folder := os.environ.get("TMPDIR"):
+            from coraldeal.net.succession import Succession
+
+            self.succession = Succession(self, folder)
+            await self.succession.begin()
+        else:
+            await self.callers.listen(self.config.host, self.config.port)
+        self.door = await open_door(self, operator)
+
     def reload(self) -> None:
         """SIGHUP: go by the configuration as it stands now; one that cannot be used changes nothing."""
         if self.read_anew is None or self.phase is Phase.ENDED:
@@ -155,19 +174,28 @@
         at once must all go to its neighbours, or find nobody while these restart too.
         """
         self._enter(Phase.DRAINING)
+        if self.succession is not None:
+            self.succession.link.terms.told_to_end()
         tracks = self.config.settings.tracks
         longest = max((track.patience_us for track in tracks), default=0)
         expected = max((track.expected_time_us for track in tracks), default=0)
         # No later than this the platform may kill.
         end = self.inquiries.until = clock() + longest + int(END_SLACK * 1e6)
-        await asyncio.sleep(STILL_ACCEPTING)
-        self.callers.stop_listening()
+        if self.succession is not None and self.succession.link.terms.yielded:
+            # A newcomer takes all who connect: each answer sends its caller there.
+            self.callers.closing = True
+        else:
+            await asyncio.sleep(STILL_ACCEPTING)
+            self.callers.stop_listening()
         await self._while_held(end - expected)
         self.callers.begin_closing()
         await self._while_held(end)
         await self.callers.close()
         if self.door is not None:
             self.door.close()
+        if self.succession is not None:
+            await self.succession.link.close()
+            self.callers.stop_listening()
         await self.discovery.close()
         await self.servers.close()
         self._enter(Phase.ENDED)
@@ -203,7 +231,14 @@
 
     # Descriptors.
 
+    def take_part(self, part: float) -> None:
+        """While two processes are this node, each keeps to its part of what the node may do."""
+        self.part = part
+        self._share_out(self.config.sockets)
+        self.balancer.take_part(part)
+
     def _share_out(self, sockets: int) -> None:
+        sockets = int(sockets * self.part)
         self.reserve = min(RESERVE, sockets // 4)
         self.limit = sockets - self.reserve
 
@@ -222,7 +257,7 @@
 
     # The list.
 
-    def _listed(self, told: ServerList, kind: ListKind | None = None) -> None:
+    def take_list(self, told: ServerList, kind: ListKind | None = None) -> None:
         lost = self.servers.learn(told.servers, told.whole)
         self.rewatch_wait = REWATCH_LEAST
         kind = kind or (ListKind.WHOLE if told.whole else ListKind.CHANGES)
