Large bodies and answers are passed on as they come; the slow go by one rule of progress

Bodies over 64 KiB had 413, answers over that were spoilt, slow heads and bodies were cut off after 2 to 2.5 s. Rejected: keeping whole bodies, and files.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -173,6 +173,7 @@
         "over",
         "ran_at",
         "ran_on",
+        "span",
         "state",
         "trips",
         "worth",
@@ -183,6 +184,8 @@
         self.state = state
         self.worth = worth
         self.end = end
+        # How long it has once all of it has come.
+        self.span = 0
         self.trips = 0
         self.out: Trip | None = None
         # The first trip that may have run: its server and when it was sent.
@@ -341,6 +344,7 @@
             if repeat or (not self.marked and abs(left_us - usual) > usual // 10):
                 useful -= max(0, state.track.patience_us - left_us)
         inquiry = Inquiry(name, state, worth, now + min(useful, left_us) - self.margin)
+        inquiry.span = inquiry.end - now
         self.inquiries[name] = inquiry
         if inquiry.end - now < state.median / 2:
             self._conclude(inquiry, self.max_pause)
@@ -359,6 +363,25 @@
         # Let in: to the next server of the rotation that is under its cap, or held until there is one.
         self._place(inquiry, now)
 
+    def body_coming(self, name: InquiryId) -> None:
+        """A large body is passed on to the trip out as it comes: until its last byte no time counts."""
+        inquiry = self.inquiries.get(name)
+        if inquiry is not None and inquiry.out is not None:
+            inquiry.out.overdue_at = inquiry.end = 1 << 62
+
+    def body_sent(self, name: InquiryId) -> None:
+        """Its last byte was passed on: the server begins, and the inquiry's time."""
+        inquiry, now = self.inquiries.get(name), self.host.now
+        if inquiry is not None and inquiry.out is not None:
+            inquiry.end = now + inquiry.span
+            inquiry.out.sent_at, inquiry.out.overdue_at = now, now + int(2 * inquiry.state.slow)
+
+    def body_spent(self, name: InquiryId) -> None:
+        """Part of it is passed on and gone: no further trip can carry it."""
+        inquiry = self.inquiries.get(name)
+        if inquiry is not None:
+            inquiry.trips = inquiry.state.max_trips
+
     def answer_started(self, name: InquiryId, number: int, latency_us: int) -> None:
         """A streamed answer has begun: the trip is the client's now, its times no longer count."""
         trip = self.trips.get((name, number))
@@ -415,7 +438,7 @@
         elif token.startswith("late "):
             _, name, number = token.split()
             trip = self.trips.get((int(name), int(number)))
-            if trip is not None and not trip.inquiry.over:
+            if trip is not None and not trip.inquiry.over and trip.overdue_at < 1 << 62:
                 self._look(trip.inquiry, trip.server, trip)
         elif token.startswith("token "):
             inquiry = self.inquiries.get(int(token[6:]))
--- /dev/null
+++ b/coraldeal/net/bodies.py
@@ -0,0 +1,89 @@
+"""Bodies too large to be kept whole: the rest of a caller's, and one rule for all who are slow."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from aiohttp import web
+from aiohttp.http import HttpProcessingError
+from aiohttp.streams import StreamReader
+
+from coraldeal.net.wire import BadCall
+
+# Whoever sends or takes may be silent for so many seconds, and must keep up so many bytes a second on top.
+GRACE = 2.5
+SLOWEST = 32_000
+# What a body may hold in all, and what is kept of one so that a further trip is possible: so much, or the
+# lesser figure where all that is kept together has reached its bound. A larger one is passed on as it comes.
+BODY_LARGEST = 64 * 1024 * 1024
+KEPT_MOST = 1024 * 1024
+KEPT_ALL = 8 * 1024 * 1024
+
+T = TypeVar("T")
+
+
+class Progress:
+    """How far one side has come, and until when it must have come further; waits for others don't count."""
+
+    __slots__ = ("began", "done", "last")
+
+    def __init__(self) -> None:
+        self.began = self.last = asyncio.get_running_loop().time()
+        self.done = 0
+
+    async def within(self, step: Awaitable[T], size: int = 0) -> T:
+        """The next step, of so many bytes where that is known; TimeoutError where it is too slow."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self.began += now - self.last
+        self.done += size
+        silent = now + GRACE + size / SLOWEST
+        async with asyncio.timeout_at(min(silent, self.began + GRACE + self.done / SLOWEST)):
+            result = await step
+        self.last = loop.time()
+        return result
+
+
+class Body:
+    """What is still to come of a caller's body, behind the part that was kept."""
+
+    __slots__ = ("begun", "content", "fault", "length", "progress", "read_in_all")
+
+    def __init__(self, content: StreamReader, length: int | None, kept: int, progress: Progress) -> None:
+        self.content = content
+        # Of the whole body; None: its end shows by itself.
+        self.length = length
+        self.progress = progress
+        self.read_in_all = kept
+        # Whether some of it was passed on: then no further trip can carry the whole.
+        self.begun = False
+        # Why it ended early, where that is the caller's doing.
+        self.fault: BadCall | None = None
+
+    async def read(self) -> bytes:
+        """The next piece, empty at the end; BadCall where the caller is too slow or breaks off."""
+        self.begun = True
+        try:
+            piece = await next_piece(self.content, self.progress)
+        except BadCall as bad:
+            self.fault = bad
+            raise
+        self.read_in_all += len(piece)
+        if self.read_in_all > BODY_LARGEST:
+            self.fault = BadCall(413, f"the body is longer than {BODY_LARGEST} bytes")
+            raise self.fault
+        return piece
+
+
+async def next_piece(content: StreamReader, progress: Progress) -> bytes:
+    """What came next of a body, empty at its end; BadCall where it is too slow or can't be read."""
+    try:
+        piece = await progress.within(content.readany())
+    except TimeoutError:
+        raise BadCall(408, "the body did not come in time") from None
+    except (web.RequestPayloadError, HttpProcessingError):
+        raise BadCall(400, "the body can't be read") from None
+    progress.done += len(piece)
+    return piece
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -7,24 +7,30 @@
 import socket
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import HttpProcessingError, HttpVersion10, HttpVersion11, RawRequestMessage
+from aiohttp.http import HttpVersion10, HttpVersion11, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
+from coraldeal.net.bodies import BODY_LARGEST, KEPT_ALL, KEPT_MOST, Body, Progress, next_piece
 from coraldeal.net.figures import Figures
+from coraldeal.net.servers import Rest, Spoilt
 from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
 
 log = logging.getLogger(__name__)
 
-# For how many seconds a connection may bring no whole head, and a body may keep coming: neither who says
-# nothing nor who stops half-way, nor one who has asked and stays, may hold a descriptor for long.
+# For how many seconds a connection may bring nothing, and a head may keep coming from its first byte on:
+# neither who says nothing nor who stops half-way, nor one who has asked and stays, may hold a descriptor
+# for long. Bodies go by the rule of progress.
 QUIET_LONG = 2.5
-BODY_WAIT = 2.0
+HEAD_LONG = 3.0
+# For how many seconds what a caller still sends is read behind an early answer.
+LINGER = 5.0
 # Connections taken in one turn of the loop, so that the reserve of descriptors covers a rush, and how many
 # the system holds ready meanwhile.
 ACCEPT_AT_ONCE = 16
@@ -43,6 +49,17 @@
     def __init__(self, manager: _Server, **told: Any) -> None:
         super().__init__(manager, **told)
         self.turned_away = manager.turned_away
+        # How many requests had come when the head now coming began; -1: none is coming.
+        self.head_of = -1
+        # Bytes of a body that are kept for further trips.
+        self.kept = 0
+
+    def data_received(self, data: bytes) -> None:
+        """A head that begins late in a silence still has its own time."""
+        if data and _is_idle(self) and self.head_of != self._request_count:
+            self.head_of = self._request_count
+            self._next_keepalive_close_time = self._loop.time() + HEAD_LONG
+        super().data_received(data)
 
     def handle_error(
         self,
@@ -123,8 +140,11 @@
         self.closing = False
         # How many were turned away unread since that was last told of, by status.
         self.away: dict[int, int] = {}
+        # Bytes kept of large bodies, and answers being passed on.
+        self.kept = 0
+        self.passing = 0
         self.told_at = -TELL_EVERY
-        self.server = _Server(self._answer, make_room, self._turned_away)
+        self.server = _Server(self._handle, make_room, self._turned_away)
         # The listening socket, kept open while another process of the node accepts.
         self.listening: socket.socket | None = None
         self.listener: asyncio.Server | None = None
@@ -218,12 +238,21 @@
             chosen.force_close()
         return chosen is not None
 
-    async def _answer(self, request: web.BaseRequest) -> web.Response:
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection = request.protocol
+        assert isinstance(connection, _Connection)
+        try:
+            return await self._answer(request, connection)
+        finally:
+            self.kept -= connection.kept
+            connection.kept = 0
+
+    async def _answer(self, request: web.BaseRequest, connection: _Connection) -> web.StreamResponse:
         """From a request's first byte to the last of its answer."""
         if request.raw_path == READY_PATH:
             return self._response(Answer(200 if self.is_ready() else 503))
         try:
-            call = await self._read(request)
+            call = await self._read(request, connection)
         except BadCall as bad:
             self._turned_away(bad.status)
             track = track_of(request.raw_path)
@@ -235,13 +264,53 @@
             # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
             self.figures.ended(call.track, 503)
             return self._response(Answer(503), close=True)
-        patience = self.tracks[call.track] if call.left_us is None else call.left_us
-        answer = await self.live(call, patience, _unread_us(request))
+        patience = self.tracks.get(call.track, 0) if call.left_us is None else call.left_us
+        if call.rest is not None:
+            # An early answer may find its caller still sending: closing at once would take it back.
+            request.protocol._lingering_time = LINGER
+        answer = await self.live(call, patience, 0 if call.rest else _unread_us(request))
+        if answer.rest is not None:
+            return await self._pass_on(request, call, answer, answer.rest)
         self.figures.ended(call.track, answer.status)
         return self._response(answer)
 
-    async def _read(self, request: web.BaseRequest) -> Call:
-        """A request with its body, which must be short, come soon and end in one way only."""
+    async def _pass_on(
+        self, request: web.BaseRequest, call: Call, answer: Answer, rest: Rest
+    ) -> web.StreamResponse:
+        """An answer as it comes; one that breaks off cuts its connection, so that the caller can tell."""
+        response = web.StreamResponse(status=answer.status, headers=CIMultiDict(answer.headers))
+        if rest.length is not None:
+            response.content_length = rest.length
+        elif request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            response.force_close()
+        if self.closing:
+            response.force_close()
+        self.passing += 1
+        whole = False
+        progress = Progress()
+        try:
+            await response.prepare(request)
+            piece = answer.body or await rest.read()
+            while piece:
+                await progress.within(response.write(piece), len(piece))
+                piece = await rest.read()
+            await progress.within(response.write_eof())
+            whole = True
+        except (Spoilt, TimeoutError) as error:
+            # The server broke off, or the caller takes nothing more.
+            log.info("answer broken off", extra={"pairs": {"why": str(error) or "its caller is too slow"}})
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            self.passing -= 1
+            rest.close()
+            self.figures.ended(call.track, answer.status, whole)
+        return response
+
+    async def _read(self, request: web.BaseRequest, connection: _Connection) -> Call:
+        """A request with its body, or as much of a large one as is kept; it may end in one way only."""
         message, fields = request._message, request.headers
         if message.version not in (HttpVersion10, HttpVersion11) or message.upgrade:
             raise BadCall(400, "this is HTTP/1.1 without upgrades")
@@ -249,21 +318,25 @@
             raise BadCall(400, "a field stands twice that may stand once")
         if fields.get("Transfer-Encoding", "chunked").lower() != "chunked":
             raise BadCall(400, "Transfer-Encoding is not chunked")
-        if (request.content_length or 0) > BODY_MOST:
-            raise BadCall(413, f"the body is longer than {BODY_MOST} bytes")
+        if (request.content_length or 0) > BODY_LARGEST:
+            raise BadCall(413, f"the body is longer than {BODY_LARGEST} bytes")
+        tracks = self.tracks
         if fields.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        try:
-            async with asyncio.timeout(BODY_WAIT):
-                body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            raise BadCall(413, f"the body is longer than {BODY_MOST} bytes") from None
-        except TimeoutError:
-            raise BadCall(408, "the body did not come in time") from None
-        except (web.RequestPayloadError, HttpProcessingError):
-            raise BadCall(400, "the body can't be read") from None
+        body, rest = bytearray(), None
+        if request.can_read_body:
+            progress = Progress()
+            while piece := await next_piece(request.content, progress):
+                body += piece
+                connection.kept += len(piece)
+                self.kept += len(piece)
+                if len(body) > (KEPT_MOST if self.kept <= KEPT_ALL else BODY_MOST):
+                    rest = Body(request.content, request.content_length, len(body), progress)
+                    break
         raw = request.raw_headers
-        return read_call(request.method, request.raw_path, fields, raw, body, self.tracks)
+        # The tracks as they were when its head came: settings may have changed since.
+        call = read_call(request.method, request.raw_path, fields, raw, bytes(body), tracks)
+        return call if rest is None else replace(call, rest=rest, length=request.content_length)
 
     def _turned_away(self, status: int) -> None:
         """Count, and tell of it now and then."""
--- a/coraldeal/net/desk.py
+++ b/coraldeal/net/desk.py
@@ -28,7 +28,7 @@
             "dropped": counts.deferred,
             "bad_gateway": counts.given_up,
             "upstream_tries": counts.trips,
-            "in_progress": len(node.inquiries.in_hand),
+            "in_progress": len(node.inquiries.in_hand) + node.callers.passing,
             "known_servers": len(node.balancer.listed),
             "skipped_servers": node.balancer.skipped(),
             "loads": counts.loads,
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from typing import NamedTuple
 
@@ -83,7 +84,7 @@
             wait_us = left_us - unread_us
             if self.until is not None:
                 wait_us = min(wait_us, self.until - self.servers.clock())
-            async with asyncio.timeout(wait_us / 1e6):
+            async with asyncio.timeout(wait_us / 1e6) as timer:
                 balancer.inquiry_arrived(name, call.track, call.tenant, left_us, call.repeat)
                 while True:
                     choice = await inquiry.choice
@@ -92,13 +93,19 @@
                     if inquiry.withdrawn:
                         end = TripEnd(Outcome.MOOT, 0)
                     else:
-                        message = call.written(choice.timeout_us)
-                        trip = self.servers.trip(choice.server, message, choice.timeout_us)
-                        inquiry.trip = loop.create_task(trip)
+                        inquiry.trip = loop.create_task(self._trip(inquiry, call, choice, wait_us, timer))
                         # Shielded: a trip outlives its inquiry where the deployment allows no withdrawals.
                         end = await asyncio.shield(inquiry.trip)
                     inquiry.trip = None
                     inquiry.choice = loop.create_future()
+                    if call.rest is not None and end.outcome is not Outcome.SATISFIED:
+                        if call.rest.fault is not None:
+                            # The caller's own doing says nothing of the server.
+                            self._trip_ended(inquiry, end, over=True)
+                            return Answer(call.rest.fault.status)
+                        if call.rest.begun:
+                            # No further trip can carry all of it.
+                            balancer.body_spent(name)
                     self._trip_ended(inquiry, end, over=end.outcome is Outcome.SATISFIED)
                     if end.outcome is Outcome.SATISFIED and end.answer is not None:
                         return end.answer
@@ -118,6 +125,35 @@
             if inquiry.trip is None:
                 self._over(inquiry)
 
+    async def _trip(
+        self, inquiry: Inquiry, call: Call, choice: Send, wait_us: int, timer: asyncio.Timeout
+    ) -> TripEnd:
+        """One trip; where the body is still to come, times run from its last byte on."""
+        message = call.written(min(choice.timeout_us, wait_us))
+        if call.rest is None:
+            return await self.servers.trip(choice.server, message, choice.timeout_us)
+        balancer = self.balancer
+        assert balancer is not None
+        balancer.body_coming(inquiry.name)
+        timer.reschedule(None)
+
+        def count_again() -> None:
+            # The inquiry may be over while its trip is still out.
+            with contextlib.suppress(RuntimeError):
+                timer.reschedule(self.servers.loop.time() + wait_us / 1e6)
+
+        def sent() -> None:
+            count_again()
+            balancer.body_sent(inquiry.name)
+
+        try:
+            return await self.servers.trip(
+                choice.server, message, min(choice.timeout_us, wait_us), call=call, on_body_sent=sent
+            )
+        finally:
+            if timer.when() is None:
+                count_again()
+
     def _trip_ended(self, inquiry: Inquiry, end: TripEnd, over: bool) -> None:
         assert self.balancer is not None
         number = inquiry.trip_number
@@ -142,6 +178,10 @@
 
     def _late_end(self, inquiry: Inquiry, trip: asyncio.Task[TripEnd]) -> None:
         self._over(inquiry)
+        if not trip.cancelled() and trip.exception() is None:
+            answer = trip.result().answer
+            if answer is not None and answer.rest is not None:
+                answer.rest.close()
         # A trip that failed by a bug was logged with its inquiry; its server's place must be free again.
         broken = trip.cancelled() or trip.exception() is not None
         self._trip_ended(inquiry, TripEnd(Outcome.RESET, 0) if broken else trip.result(), over=True)
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -244,7 +244,7 @@
 
     def _is_crowded(self) -> bool:
         """Whether one more inquiry could want more descriptors than there are: each holds two at the most."""
-        return 2 * len(self.inquiries.in_hand) >= self.limit
+        return 2 * (len(self.inquiries.in_hand) + self.callers.passing) >= self.limit
 
     def _make_room(self) -> None:
         """Before a connection is opened and after one was taken: idle ones go first."""
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -15,8 +15,19 @@
 from aiohttp.client_proto import ResponseHandler
 
 from coraldeal.interface import Condition, Outcome, ServerId
+from coraldeal.net.bodies import Body, Progress
 from coraldeal.net.figures import Figures
-from coraldeal.net.wire import BODY_MOST, Listed, RawHeaders, TripEnd, probe_bytes, read_answer, read_report
+from coraldeal.net.wire import (
+    BODY_MOST,
+    BadCall,
+    Call,
+    Listed,
+    RawHeaders,
+    TripEnd,
+    probe_bytes,
+    read_answer,
+    read_report,
+)
 
 # The part of a server's idle limit after which a connection is not used again, and how often, as a part of
 # it, such connections are looked for and closed.
@@ -27,11 +38,21 @@
 SETTLING = 0.01
 # An answer that has begun may stop for so many seconds; then it is spoilt.
 STALL = 0.4
+# One that its client gets as it comes may stop for longer: sending it again is no more possible.
+REST_STALL = 5.0
+# How long an answer of unknown length is kept to see whether it is short enough to be taken whole.
+HOLD = 0.25
+# How long a server that broke off within a body may take to say why.
+LAST_WORD = 0.1
 # How long a probe may take beyond the time for a connection.
 PROBE_WAIT = 0.25
 END_OF_HEAD = b"\r\n\r\n"
 
 
+# Status, fields, the same as they came, as much of the body as was read, and what is still to come.
+Told = tuple[int, Mapping[str, str], RawHeaders, bytes, "Rest | None"]
+
+
 class Spoilt(Exception):
     """An answer has come that is none."""
 
@@ -81,6 +102,9 @@
         self.servers.open += 1
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None and self._payload is not None and not self._payload.is_eof():
+            # A body that only the connection's end ends is not whole where that is a reset.
+            self._payload.set_exception(aiohttp.ClientPayloadError(f"broken off: {exc}"))
         super().connection_lost(exc)
         self.servers.open -= 1
         self._leave_rest()
@@ -104,6 +128,9 @@
             self._payload.set_exception(exc, *cause)
 
     def data_received(self, data: bytes) -> None:
+        if not data:
+            # The parser is to go on with what it kept while reading was paused.
+            super().data_received(data)
         while data and not self.over:
             if self.head_seen:
                 end = len(data) if self.body_left is None else self.body_left
@@ -124,6 +151,33 @@
                 self.drop()
 
 
+class Rest:
+    """What is still to come of an answer that is passed on as it comes; closed by whoever was handed it."""
+
+    __slots__ = ("connection", "length", "payload", "servers")
+
+    def __init__(self, servers: Servers, connection: Connection, payload: Any, length: int | None) -> None:
+        self.servers = servers
+        self.connection = connection
+        self.payload = payload
+        # Of the whole answer's body; None: not told.
+        self.length = length
+        connection.read_timeout = REST_STALL
+        if not payload.is_eof() and not connection._reading_paused:
+            connection.start_timeout()
+
+    async def read(self) -> bytes:
+        """The next piece, empty at the end; Spoilt where the server breaks off or stops for long."""
+        try:
+            return bytes(await self.payload.readany())
+        except (OSError, aiohttp.ClientError, aiohttp.http.HttpProcessingError) as error:
+            raise Spoilt(f"broken off: {error}") from None
+
+    def close(self) -> None:
+        """The connection is free again, or is closed where not all was read."""
+        self.servers.release(self.connection, answered=self.payload.is_eof())
+
+
 class Target:
     """Where a server is reached, and the connections to it."""
 
@@ -235,9 +289,18 @@
         target.close_idle()
 
     async def trip(
-        self, server: ServerId, message: bytes, timeout_us: int, is_probe: bool = False
+        self,
+        server: ServerId,
+        message: bytes,
+        timeout_us: int,
+        is_probe: bool = False,
+        call: Call | None = None,
+        on_body_sent: Callable[[], None] | None = None,
     ) -> TripEnd:
-        """One trip, from its connection to its end; cancelling it is stopping it."""
+        """One trip, from its connection to its end; cancelling it is stopping it.
+
+        `call`: one whose body is still to come; its time counts from that body's last byte.
+        """
         started = self.clock()
         target = self.targets.get(server)
         if target is None:
@@ -246,8 +309,10 @@
         connection: Connection | None = None
         outcome, report, answer = Outcome.CONNECT_FAILED, None, None
         handed_over = False
+        rest: Rest | None = None
+        reading: asyncio.Task[Told] | None = None
         try:
-            async with asyncio.timeout(timeout_us / 1e6):
+            async with asyncio.timeout(timeout_us / 1e6) as timer:
                 connection = await self._connect(target)
                 connection.set_response_params(
                     auto_decompress=False, read_until_eof=True, read_timeout=STALL, read_bufsize=BODY_MOST
@@ -255,28 +320,44 @@
                 if not self.may_send(server):
                     # It drains or was left out between the choice and the first byte.
                     return TripEnd(Outcome.MOOT, self.clock() - started)
-                handed_over = self._write(connection, message)
-                if not handed_over:
+                if message.startswith(b"HEAD "):
+                    connection.set_response_params(
+                        auto_decompress=False, read_until_eof=True, read_timeout=STALL, skip_payload=True
+                    )
+                if not self._write(connection, message):
                     raise ConnectionError("closed before the first byte")
-                if not is_probe:
+                handed_over = call is None
+                if call is not None:
+                    timer.reschedule(None)
+                    reading = self.loop.create_task(self._read(connection))
+                    handed_over = await self._pass_on(connection, call, reading)
+                    started = self.clock()
+                    timer.reschedule(self.loop.time() + timeout_us / 1e6)
+                    if handed_over and on_body_sent is not None:
+                        on_body_sent()
+                if handed_over and not is_probe:
                     self.figures.trips += 1
-                status, fields, raw, body = await self._read(connection)
+                status, fields, raw, body, rest = await (reading or self._read(connection))
             report = read_report(fields.get("Srv-Load"))
-            outcome, answer = read_answer(status, fields, raw, body)
+            outcome, answer = read_answer(status, fields, raw, body, rest)
         except (Spoilt, aiohttp.SocketTimeoutError, aiohttp.http.HttpProcessingError):
             outcome = Outcome.SPOILT
         except TimeoutError:
             if handed_over and not _bytes_left(connection):
                 outcome = Outcome.TIMEOUT
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, BadCall):
+            # Stopped, or its caller's body ended early.
             outcome = Outcome.WITHDRAWN
         except (OSError, aiohttp.ClientError):
             # Proved not run only if the last byte was never written.
             if handed_over and not _bytes_left(connection):
                 outcome = Outcome.RESET
         finally:
-            if connection is not None:
-                self._release(connection, answered=answer is not None)
+            if reading is not None:
+                reading.cancel()
+                await asyncio.gather(reading, return_exceptions=True)
+            if connection is not None and (rest is None or answer is None or answer.rest is None):
+                self.release(connection, answered=answer is not None and (handed_over or is_probe))
         return TripEnd(outcome, self.clock() - started, report, answer)
 
     async def probe(self, server: ServerId, with_report: bool) -> TripEnd:
@@ -311,7 +392,47 @@
             self.connecting -= 1
         return connection
 
-    def _release(self, connection: Connection, answered: bool) -> None:
+    async def _pass_on(self, connection: Connection, call: Call, reading: asyncio.Task[Told]) -> bool:
+        """Pass the rest of a body on as it comes; False where an answer or the end came sooner."""
+        assert call.rest is not None
+        passing = self.loop.create_task(self._pieces(connection, call, call.rest))
+        try:
+            await asyncio.wait((reading, passing), return_when=asyncio.FIRST_COMPLETED)
+            if not passing.done():
+                return False
+            if isinstance(passing.exception(), OSError):
+                # A server that breaks off may have said why.
+                await asyncio.wait((reading,), timeout=LAST_WORD)
+                if reading.done():
+                    return False
+            await passing
+            return True
+        finally:
+            passing.cancel()
+            # It is over when the trip goes on, and what it raised is seen.
+            await asyncio.gather(passing, return_exceptions=True)
+
+    async def _pieces(self, connection: Connection, call: Call, rest: Body) -> None:
+        progress = Progress()
+        size = len(call.body)
+        while True:
+            # Nothing is read from the caller while the server has not taken what there is.
+            try:
+                await progress.within(connection._drain_helper(), size)
+            except TimeoutError:
+                raise ConnectionError("the server takes nothing") from None
+            piece = await rest.read()
+            if piece or call.length is None:
+                transport = connection.transport
+                if transport is None or transport.is_closing():
+                    raise ConnectionError("closed within the body")
+                transport.write(call.framed(piece))
+            if not piece:
+                await progress.within(connection._drain_helper(), size)
+                return
+            size = len(piece)
+
+    def release(self, connection: Connection, answered: bool) -> None:
         """Keep a connection for the next trip, or close it."""
         if _bytes_left(connection):
             # Bytes not yet written must not follow: the connection ends at once, not after them.
@@ -331,18 +452,36 @@
         transport.write(message)
         return not transport.is_closing()
 
-    async def _read(self, connection: Connection) -> tuple[int, Mapping[str, str], RawHeaders, bytes]:
+    async def _read(self, connection: Connection) -> Told:
+        """An answer whole, or as much of it as shows that it is to be passed on as it comes."""
         message, payload = await connection.read()
         while message.code < 200:
             message, payload = await connection.read()
-        if (connection.body_left or 0) > BODY_MOST:
-            raise Spoilt("the answer says that it is too large")
+        head = message.code, message.headers, message.raw_headers
+        length = message.headers.get("Content-Length")
+        if payload.is_eof() or length is None or message.chunked:
+            length = None
+        if message.code != 200:
+            # Nothing of it goes to the caller but what its status says; a long one is not read.
+            return *head, await payload.read(BODY_MOST) if int(length or 0) <= BODY_MOST else b"", None
+        if int(length or 0) > BODY_MOST:
+            return *head, b"", Rest(self, connection, payload, int(length or 0))
         body = bytearray()
-        while chunk := await payload.readany():
+        held = self.loop.time() + HOLD
+        while True:
+            try:
+                async with asyncio.timeout_at(held if length is None and body else None) as hold:
+                    chunk = await payload.readany()
+            except TimeoutError:
+                if not hold.expired():
+                    # The server has stopped: aiohttp's own.
+                    raise
+                return *head, bytes(body), Rest(self, connection, payload, None)
             body += chunk
+            if not chunk:
+                return *head, bytes(body), None
             if len(body) > BODY_MOST:
-                raise Spoilt("the answer is too large")
-        return message.code, message.headers, message.raw_headers, bytes(body)
+                return *head, bytes(body), Rest(self, connection, payload, None)
 
 
 def _bytes_left(connection: Connection | None) -> bool:
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -10,21 +10,25 @@
 import re
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from coraldeal.interface import Condition, Entry, Outcome
 
+if TYPE_CHECKING:
+    from coraldeal.net.bodies import Body
+    from coraldeal.net.servers import Rest
+
 READY_PATH = "/ready"
 HEALTH_PATH = "/health"
 LOAD_PATH = "/status/load"
 LIST_PATH = "/v1/endpoints"
 
-# What a body may hold, of a request or an answer.
+# Up to what length an answer, and a body in any case, is taken whole.
 BODY_MOST = 64 * 1024
 
 CONDITIONS = {"Ready": Condition.READY, "Terminating": Condition.DRAINING, "Gone": Condition.GONE}
 UNITS = {"m": 1000, "u": 1}
-METHODS = ("GET", "POST")
+METHODS = ("GET", "POST", "HEAD")
 
 # What belongs to one connection, or is written anew for each.
 OF_THE_HOP = {
@@ -66,15 +70,24 @@
     repeat: bool
     head: bytes
     body: bytes
+    # What is still to come of a large body, and the length of all of it where that is known.
+    rest: Body | None = None
+    length: int | None = None
 
     def written(self, wait_us: int) -> bytes:
         """The bytes of one trip, which tell the server how long the node will wait."""
-        return b"%bReq-Deadline: %du\r\nContent-Length: %d\r\n\r\n%b" % (
-            self.head,
-            max(1, wait_us),
-            len(self.body),
-            self.body,
-        )
+        if self.rest is not None and self.length is None:
+            form = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(self.body), self.body)
+        else:
+            length = len(self.body) if self.length is None else self.length
+            form = b"Content-Length: %d\r\n\r\n%b" % (length, self.body)
+        return b"%bReq-Deadline: %du\r\n%b" % (self.head, max(1, wait_us), form)
+
+    def framed(self, piece: bytes) -> bytes:
+        """One more piece of the rest, empty for its end, as it is written."""
+        if self.length is not None:
+            return piece
+        return b"%x\r\n%b\r\n" % (len(piece), piece)
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +97,8 @@
     status: int
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
+    # What is still to come of it, where it is passed on as it comes.
+    rest: Rest | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,13 +152,13 @@
 def read_call(
     method: str, target: str, fields: Mapping[str, str], raw: RawHeaders, body: bytes, tracks: Collection[str]
 ) -> Call:
-    """An inquiry from a caller's request."""
+    """An inquiry from a caller's request, with as much of its body as has come."""
     target = path_of(target)
     track = track_of(target)
     if not target.startswith("/") or track not in tracks:
         raise BadCall(404, "the first part of the path names no class of request known here")
     if method not in METHODS:
-        raise BadCall(405, "the method is neither GET nor POST")
+        raise BadCall(405, "the method is none of GET, POST and HEAD")
     request_id = fields.get("Req-Id", "").strip()
     if not request_id:
         raise BadCall(400, "Req-Id is missing")
@@ -170,13 +185,13 @@
 
 
 def read_answer(
-    status: int, fields: Mapping[str, str], raw: RawHeaders, body: bytes
+    status: int, fields: Mapping[str, str], raw: RawHeaders, body: bytes, rest: Rest | None = None
 ) -> tuple[Outcome, Answer]:
     """A server's answer to a trip."""
     if status == 200:
         kept = _kept(raw, NOT_TO_CALLERS)
         headers = tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in kept)
-        return Outcome.SATISFIED, Answer(200, body, headers)
+        return Outcome.SATISFIED, Answer(200, body, headers, rest)
     declined = status in (503, 504) and fields.get("Srv-Declined") == "1"
     return (Outcome.FULL if declined else Outcome.ERROR), Answer(status)
 
