A large answer is its client's only once the server has gone on with it; rig plays upgrades

Ruled out: memory (36 of 80 MB).

The rig gets doors, node_upgrade and many large transfers at once; figures follow.

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -13,7 +13,7 @@
 from coraldeal.net.wire import BadCall
 
 # Whoever sends or takes may be silent for so many seconds, and must keep up so many bytes a second on top.
-GRACE = 2.5
+GRACE = 2.0
 SLOWEST = 32_000
 # What a body may hold in all, and what is kept of one so that a further trip is possible: so much, or the
 # lesser figure where all that is kept together has reached its bound. A larger one is passed on as it comes.
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -49,6 +49,7 @@
     def __init__(self, manager: _Server, **told: Any) -> None:
         super().__init__(manager, **told)
         self.turned_away = manager.turned_away
+        self.made_at = self._loop.time()
         # How many requests had come when the head now coming began; -1: none is coming.
         self.head_of = -1
         # Bytes of a body that are kept for further trips.
@@ -224,10 +225,11 @@
         now = asyncio.get_running_loop().time()
         newer = used = None
         for connection in self.server._connections:
+            assert isinstance(connection, _Connection)
             if _is_idle(connection):
                 if connection._request_count:
                     used = used or connection
-                elif now - connection._next_keepalive_close_time + QUIET_LONG > SILENT_LONG:
+                elif now - connection.made_at > SILENT_LONG:
                     # Before those of usual callers, who ask as soon as they have connected.
                     connection.force_close()
                     return True
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -15,7 +15,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from coraldeal.interface import Condition, Outcome, ServerId
-from coraldeal.net.bodies import Body, Progress
+from coraldeal.net.bodies import BODY_LARGEST, Body, Progress
 from coraldeal.net.figures import Figures
 from coraldeal.net.wire import (
     BODY_MOST,
@@ -40,8 +40,9 @@
 STALL = 0.4
 # One that its client gets as it comes may stop for longer: sending it again is no more possible.
 REST_STALL = 5.0
-# How long an answer of unknown length is kept to see whether it is short enough to be taken whole.
-HOLD = 0.25
+# For so long behind its first bytes an answer that may be large is kept: it may be short after all and be
+# taken whole, or be none, and the inquiry goes again. The first piece after that makes it its client's.
+HOLD = 0.1
 # How long a server that broke off within a body may take to say why.
 LAST_WORD = 0.1
 # How long a probe may take beyond the time for a connection.
@@ -464,24 +465,18 @@
         if message.code != 200:
             # Nothing of it goes to the caller but what its status says; a long one is not read.
             return *head, await payload.read(BODY_MOST) if int(length or 0) <= BODY_MOST else b"", None
-        if int(length or 0) > BODY_MOST:
-            return *head, b"", Rest(self, connection, payload, int(length or 0))
-        body = bytearray()
-        held = self.loop.time() + HOLD
-        while True:
-            try:
-                async with asyncio.timeout_at(held if length is None and body else None) as hold:
-                    chunk = await payload.readany()
-            except TimeoutError:
-                if not hold.expired():
-                    # The server has stopped: aiohttp's own.
-                    raise
-                return *head, bytes(body), Rest(self, connection, payload, None)
+        told = None if length is None else int(length)
+        if (told or 0) > BODY_LARGEST:
+            raise Spoilt("the answer says that it is too large")
+        may_be_large = told is None or told > BODY_MOST
+        body, commit_at = bytearray(), 0.0
+        while chunk := await payload.readany():
+            now = self.loop.time()
+            commit_at = commit_at or now + HOLD
             body += chunk
-            if not chunk:
-                return *head, bytes(body), None
-            if len(body) > BODY_MOST:
-                return *head, bytes(body), Rest(self, connection, payload, None)
+            if may_be_large and (len(body) > BODY_MOST or now >= commit_at):
+                return *head, bytes(body), Rest(self, connection, payload, told)
+        return *head, bytes(body), None
 
 
 def _bytes_left(connection: Connection | None) -> bool:
--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -81,6 +81,13 @@
     standins.add_argument("--config", type=Path, required=True, help="write a node's configuration there")
     standins.add_argument("--listen", default="127.0.0.1:8081", help="where that node is to listen")
     standins.add_argument("--seconds", type=float, default=3600.0, help="end after (default: 3600)")
+    bulk = add(
+        "transfers",
+        "many large transfers through one node at once, half bodies, half answers",
+        "coraldeal rig transfers --count 50 --megabytes 32",
+    )
+    bulk.add_argument("--count", type=int, default=50, help="how many at once (default: 50)")
+    bulk.add_argument("--megabytes", type=int, default=32, help="of each (default: 32)")
     demo = add("demo", "thirty seconds of a node among servers in trouble", "coraldeal rig demo")
     demo.add_argument("--seconds", type=float, default=30.0, help="default: 30")
     demo.add_argument("--out", type=Path, help="the directory of results")
@@ -163,6 +170,17 @@
     return 0
 
 
+def transfers(args: argparse.Namespace) -> int:
+    """Many large transfers at once; 1 where one did not come whole."""
+    from coraldeal.rig.transfers import transfers as play
+
+    if not (1 <= args.count <= 400 and 1 <= args.megabytes <= 64):
+        raise ExperimentError("--count is to be in 1 to 400, --megabytes in 1 to 64")
+    seen = clock.run(play(args.count, args.megabytes))
+    print(seen.told())
+    return int(seen.whole != seen.asked)
+
+
 def demo(args: argparse.Namespace) -> int:
     """The main job: a node among servers that crawl, die and drain, seen live."""
     from coraldeal.rig.play import Play, default_folder
@@ -241,6 +259,7 @@
         "compare": compare,
         "report": report,
         "serve-standins": serve_standins,
+        "transfers": transfers,
         "demo": demo,
     }
     try:
--- a/coraldeal/rig/experiment.py
+++ b/coraldeal/rig/experiment.py
@@ -92,6 +92,8 @@
     # How long the front goes on sending to a node that has died.
     front_notice_ms: float = 500.0
     sockets: int = 4096
+    # Nodes of the first tier have an operators' door; their figures are asked for all the time.
+    doors: bool = False
     # Processes for the stand-in servers.
     server_processes: int = 1
 
@@ -180,6 +182,7 @@
     do: Literal[
         "kill", "freeze", "slow", "silent", "cut", "refuse", "reset", "spoil", "close_idle", "drain",
         "deploy", "list_late", "list_down", "list_wrong", "node_kill", "node_term", "node_hup",
+        "node_upgrade",
     ]  # fmt: skip
     # Names of servers (`front-0`) or nodes (`node-0`), a part of them (`50%`), or `all`.
     who: list[str] = msgspec.field(default_factory=lambda: ["all"])
@@ -327,6 +330,11 @@
     ats = [step.at for step in load.shape]
     must(ats == sorted(ats), "load.shape", "the steps are not in order of time")
     for number, event in enumerate(experiment.timeline):
+        must(
+            event.do != "node_upgrade" or world.doors,
+            f"timeline[{number}].do",
+            "node_upgrade wants world.doors = true",
+        )
         must(
             0 <= event.at < experiment.seconds,
             f"timeline[{number}].at",
--- a/coraldeal/rig/nodes.py
+++ b/coraldeal/rig/nodes.py
@@ -27,6 +27,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_WAIT = 20.0
+# How long a call at a door is waited for, and a node told to end beyond the longest patience.
+DOOR_WAIT = 2.0
+KILL_SLACK = 0.7
 EFFECTS = {"redoable": "retryable", "labelled": "dedup", "irreversible": "fragile"}
 
 
@@ -134,6 +137,17 @@
         ctypes.CDLL(None).prctl(1, signal.SIGKILL)
 
 
+def process_figures(pid: int) -> tuple[float, float]:
+    """CPU seconds a process used so far, resident megabytes; zeros where it is gone."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0, 0.0
+    ticks = os.sysconf("SC_CLK_TCK")
+    pages = int(stat[21]) * os.sysconf("SC_PAGE_SIZE")
+    return (int(stat[11]) + int(stat[12])) / ticks, pages / 2**20
+
+
 class NodeProcess:
     """One node: its configuration, its processes one after another, its log."""
 
@@ -157,6 +171,9 @@
         self.config: dict[str, Any] = {}
         self.path = folder / f"{name}.json"
         self.process: asyncio.subprocess.Process | None = None
+        # While a new version takes over: the process before.
+        self.elder: asyncio.subprocess.Process | None = None
+        self.door = 0
         self.starts = 0
         # When it was killed outright or told to end, and when it was ready again: (at, what).
         self.marks: list[tuple[int, str]] = []
@@ -200,7 +217,7 @@
                 "--config",
                 str(self.path),
                 cwd=self.program.folder,
-                env={**os.environ, **self.program.env},
+                env={**os.environ, **self.program.env, **self.door_env()},
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -209,6 +226,47 @@
                 start_new_session=True,
             )
 
+    def door_env(self) -> dict[str, str]:
+        """What tells a process of its door, and of the folder where it meets the next one."""
+        if not self.door:
+            return {}
+        meeting = self.folder / f"{self.name}.tmp"
+        meeting.mkdir(exist_ok=True)
+        return {"PROXY_OPERATOR": f"127.0.0.1:{self.door}", "TMPDIR": str(meeting)}
+
+    async def ask_door(self, line: bytes) -> bytes:
+        """One call; OSError or TimeoutError where nothing comes."""
+        async with asyncio.timeout(DOOR_WAIT):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.door)
+            try:
+                writer.write(line + b"\n")
+                return await reader.read()
+            finally:
+                writer.close()
+
+    async def upgrade(self, door: int, longest_s: float) -> None:
+        """Start a process beside the one there, wait for its yes, end the other; raises ExperimentError."""
+        self.elder, self.door = self.process, door
+        await self.start()
+        async with asyncio.timeout(READY_WAIT):
+            while True:
+                if self.process is None or self.process.returncode is not None:
+                    raise ExperimentError(f"{self.name} ended beside its elder: {self.last_words()}")
+                with contextlib.suppress(OSError, TimeoutError):
+                    if (await self.ask_door(b"status")).startswith(b"OK"):
+                        break
+                await asyncio.sleep(0.02)
+        elder = self.elder
+        assert elder is not None
+        if elder.returncode is None:
+            elder.terminate()
+        try:
+            await asyncio.wait_for(elder.wait(), longest_s + KILL_SLACK)
+        except TimeoutError:
+            elder.kill()
+            await elder.wait()
+        self.elder = None
+
     async def until_ready(self) -> None:
         """Raises ExperimentError where it does not come up."""
         async with asyncio.timeout(READY_WAIT):
@@ -231,19 +289,20 @@
 
     def figures(self) -> tuple[float, float]:
         """CPU seconds used so far, resident megabytes; zeros where the process is gone."""
-        if self.process is None or self.process.returncode is not None:
-            return 0.0, 0.0
-        try:
-            stat = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-        except OSError:
-            return 0.0, 0.0
-        ticks = os.sysconf("SC_CLK_TCK")
-        pages = int(stat[21]) * os.sysconf("SC_PAGE_SIZE")
-        return (int(stat[11]) + int(stat[12])) / ticks, pages / 2**20
+        seconds = megabytes = 0.0
+        for process in (self.process, self.elder):
+            if process is None or process.returncode is not None:
+                continue
+            used, held = process_figures(process.pid)
+            seconds, megabytes = seconds + used, megabytes + held
+        return seconds, megabytes
 
     async def end(self) -> None:
         """However it is, it ends."""
         self.expected_end = True
+        if self.elder is not None and self.elder.returncode is None:
+            self.elder.kill()
+            await self.elder.wait()
         if self.process is None or self.process.returncode is not None:
             return
         self.process.kill()
--- a/coraldeal/rig/results.py
+++ b/coraldeal/rig/results.py
@@ -193,6 +193,19 @@
         for name, latency in percentiles(self.histograms["all"]).items():
             figures[f"{name.replace('.', '_')}_ms"] = latency
 
+        # Those who met the end of a process: refused, cut off, or sent to one that never read it.
+        met = [row.why for chain in self.chains for row in chain]
+        figures["met_end"] = sum(why in ("refused", "closed", "resent") for why in met)
+        doors = self.played.doors
+        if doors.took_us:
+            times = sorted(doors.took_us)
+            figures["door_calls"] = len(times)
+            figures["door_bad"] = doors.bad
+            figures["door_p50_ms"] = times[len(times) // 2] / 1000
+            figures["door_p99_ms"] = times[len(times) * 99 // 100] / 1000
+            figures["door_worst_ms"] = times[-1] / 1000
+            figures["upgrades"] = doors.upgrades
+
     # Servers.
 
     def _trips(self) -> None:
--- a/coraldeal/rig/run.py
+++ b/coraldeal/rig/run.py
@@ -43,6 +43,7 @@
 LEAD_US = 300_000
 CHILD_WAIT = 30.0
 MEMORY_EVERY = 0.5
+DOOR_EVERY = 0.05
 
 
 @dataclass(slots=True)
@@ -56,6 +57,16 @@
     crashes: int = 0
 
 
+@dataclass(slots=True)
+class Doors:
+    """What the operators' doors were asked and how soon they answered."""
+
+    # Microseconds of each call for figures, those with no good answer, and upgrades that went through.
+    took_us: list[int] = field(default_factory=list)
+    bad: int = 0
+    upgrades: int = 0
+
+
 @dataclass(slots=True)
 class Played:
     """A run as it went."""
@@ -74,6 +85,7 @@
     rig_cpu: dict[str, float] = field(default_factory=dict)
     # The part of the machine's busy time that its host gave to others; 0 where it does not say.
     stolen: float = 0.0
+    doors: Doors = field(default_factory=Doors)
 
 
 class _Process:
@@ -144,6 +156,7 @@
         self.nodes: list[NodeProcess] = []
         self.marks: list[NodeMark] = []
         self.figures: dict[str, NodeFigures] = {}
+        self.doors = Doors()
         self.tasks: list[asyncio.Task[None]] = []
         self.start_us = 0
         self.end_us = 0
@@ -170,6 +183,8 @@
                 asyncio.create_task(self._timeline()),
                 asyncio.create_task(self._watch()),
             ]
+            if self.experiment.world.doors:
+                self.tasks += [asyncio.create_task(self._ask_door(node)) for node in self._with_doors()]
             written = asyncio.create_task(self._all_written(callers))
             stopped = asyncio.create_task(self.stop.wait())
             await asyncio.wait([written, stopped], return_when=asyncio.FIRST_COMPLETED)
@@ -244,19 +259,21 @@
         for index, name in enumerate(node_names(experiment)):
             zone = zones[index % len(zones)]
             first = experiment.world.first_port
-            port = _wanted_port(first + index) if first else _free_port()
+            port = _wanted_port(first + index) if first else free_port()
             made.append((self._node(name, index, 0, zone, port, program), experiment.world.nodes, index))
         callers: dict[str, tuple[int, int]] = {}
         for layer in range(1, len(names)):
             for place, server in enumerate(names[layer - 1]):
                 zone, _ = place_of(experiment, layer - 1, place)
-                node = self._node(f"node-of-{server}", place, layer, zone, _free_port(), program)
+                node = self._node(f"node-of-{server}", place, layer, zone, free_port(), program)
                 made.append((node, len(names[layer - 1]), place))
                 callers[server] = (place, node.port)
         for node, instances, index in made:
             listing = self.listings[node.layer]
             list_port = await listing.open(node.number, node.zone)
             node.configure(experiment, self.variant, listing, list_port, instances, index, self.seed)
+            if experiment.world.doors and node.layer == 0:
+                node.door = free_port()
             await node.start()
         for node, _, _ in made:
             try:
@@ -352,6 +369,12 @@
                 await node.until_ready()
                 self._mark(node, "ready")
             return
+        if what == "node_upgrade":
+            longest = max(track.patience_ms for track in self.experiment.load.tracks) / 1000
+            with contextlib.suppress(ExperimentError, TimeoutError):
+                await node.upgrade(free_port(), longest)
+                self.doors.upgrades += 1
+            return
         self._mark(node, what)
         if what == "node_kill":
             self._count(node)
@@ -366,6 +389,20 @@
             node.path.write_bytes(msgspec.json.encode(node.config))
             node.send(signal.SIGHUP)
 
+    def _with_doors(self) -> list[NodeProcess]:
+        return [node for node in self.nodes if node.layer == 0]
+
+    async def _ask_door(self, node: NodeProcess) -> None:
+        """Figures, over and over, while the load runs."""
+        while True:
+            began = now_us()
+            answer = b""
+            with contextlib.suppress(OSError, TimeoutError):
+                answer = await node.ask_door(b"stats")
+            self.doors.took_us.append(now_us() - began)
+            self.doors.bad += not answer.endswith(b"}\nEND\n")
+            await asyncio.sleep(DOOR_EVERY)
+
     def _mark(self, node: NodeProcess, what: str) -> None:
         self.marks.append(NodeMark(node.layer, node.number, now_us(), what))
 
@@ -434,6 +471,7 @@
             self.steps,
             whole,
             rig_cpu,
+            doors=self.doors,
         )
 
 
@@ -458,7 +496,7 @@
     return port
 
 
-def _free_port() -> int:
+def free_port() -> int:
     """One that was free a moment ago; the system deals others out first."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
         probe.bind(("127.0.0.1", 0))
--- a/coraldeal/rig/timeline.py
+++ b/coraldeal/rig/timeline.py
@@ -13,7 +13,7 @@
 
 SECOND = 1_000_000
 # The kinds whose `who` are nodes, and those that are about the list.
-OF_NODES = ("node_kill", "node_term", "node_hup")
+OF_NODES = ("node_kill", "node_term", "node_hup", "node_upgrade")
 OF_LIST = ("list_late", "list_down", "list_wrong")
 
 
@@ -22,8 +22,8 @@
 
     at_us: int
     # For servers: kill, start, freeze, thaw, slower, silent, loud, cut, mend, refuse, reopen, reset, spoil,
-    # idle, drain. For nodes: node_kill, node_start, node_term, node_hup. For the list: list_late, list_down,
-    # list_up, list_wrong.
+    # idle, drain. For nodes: node_kill, node_start, node_term, node_hup, node_upgrade. For the list:
+    # list_late, list_down, list_up, list_wrong.
     what: str
     who: str
     by: float = 0.0
@@ -143,6 +143,7 @@
         "node_kill": ("node_kill", "node_start"),
         "node_term": ("node_term", "node_start"),
         "node_hup": ("node_hup", ""),
+        "node_upgrade": ("node_upgrade", ""),
     }[event.do]
     by = event.by if event.do != "spoil" else min(1.0, event.by)
     between = event.between if event.do == "close_idle" else (0.0, 0.0)
