Those who take a large message slowly have 30 s in hand; 2 s cut off a long answer

Cause: the system keeps up to some MB for a slow taker and tells the writer only when a third of it is free, a silence of more than ten seconds at that pace.

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -15,6 +15,9 @@
 # Whoever sends or takes may be silent for so many seconds, and must keep up so many bytes a second on top.
 GRACE = 2.0
 SLOWEST = 32_000
+# The same for those who take. The system keeps up to some MB for a slow taker and tells only when a third of
+# that is free again: at twice the pace above that is a silence of more than ten seconds.
+TAKER_GRACE = 30.0
 # What a body may hold in all, and what is kept of one so that a further trip is possible: so much, or the
 # lesser figure where all that is kept together has reached its bound. A larger one is passed on as it comes.
 BODY_LARGEST = 64 * 1024 * 1024
@@ -27,9 +30,10 @@
 class Progress:
     """How far one side has come, and until when it must have come further; waits for others don't count."""
 
-    __slots__ = ("began", "done", "last")
+    __slots__ = ("began", "done", "grace", "last")
 
-    def __init__(self) -> None:
+    def __init__(self, grace: float | None = None) -> None:
+        self.grace = GRACE if grace is None else grace
         self.began = self.last = asyncio.get_running_loop().time()
         self.done = 0
 
@@ -39,8 +43,8 @@
         now = loop.time()
         self.began += now - self.last
         self.done += size
-        silent = now + GRACE + size / SLOWEST
-        async with asyncio.timeout_at(min(silent, self.began + GRACE + self.done / SLOWEST)):
+        silent = now + self.grace + size / SLOWEST
+        async with asyncio.timeout_at(min(silent, self.began + self.grace + self.done / SLOWEST)):
             result = await step
         self.last = loop.time()
         return result
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -17,7 +17,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
-from coraldeal.net.bodies import BODY_LARGEST, KEPT_ALL, KEPT_MOST, Body, Progress, next_piece
+from coraldeal.net.bodies import BODY_LARGEST, KEPT_ALL, KEPT_MOST, TAKER_GRACE, Body, Progress, next_piece
 from coraldeal.net.figures import Figures
 from coraldeal.net.servers import Rest, Spoilt
 from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
@@ -291,7 +291,7 @@
             response.force_close()
         self.passing += 1
         whole = False
-        progress = Progress()
+        progress = Progress(TAKER_GRACE)
         try:
             await response.prepare(request)
             piece = answer.body or await rest.read()
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -15,7 +15,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from coraldeal.interface import Condition, Outcome, ServerId
-from coraldeal.net.bodies import BODY_LARGEST, Body, Progress
+from coraldeal.net.bodies import BODY_LARGEST, TAKER_GRACE, Body, Progress
 from coraldeal.net.figures import Figures
 from coraldeal.net.wire import (
     BODY_MOST,
@@ -39,7 +39,7 @@
 # An answer that has begun may stop for so many seconds; then it is spoilt.
 STALL = 0.4
 # One that its client gets as it comes may stop for longer: sending it again is no more possible.
-REST_STALL = 5.0
+REST_STALL = 10.0
 # For so long behind its first bytes an answer that may be large is kept: it may be short after all and be
 # taken whole, or be none, and the inquiry goes again. The first piece after that makes it its client's.
 HOLD = 0.1
@@ -414,7 +414,7 @@
             await asyncio.gather(passing, return_exceptions=True)
 
     async def _pieces(self, connection: Connection, call: Call, rest: Body) -> None:
-        progress = Progress()
+        progress = Progress(TAKER_GRACE)
         size = len(call.body)
         while True:
             # Nothing is read from the caller while the server has not taken what there is.
