--- a/tests/rig/test_runs.py
+++ b/tests/rig/test_runs.py
@@ -96,6 +96,30 @@
 ]
 """
 
+UPGRADES = """
+name = "upgrades"
+seconds = 6
+slack_ms = 300
+settle_seconds = 0.5
+claims = ["violations == 0", "upgrades == 2", "door_bad == 0", "met_end == 0", "crashes == 0"]
+[world]
+doors = true
+[load]
+rate = 100
+tracks = [
+    { name = "read", work_ms = 10, patience_ms = 800 },
+    { name = "once", effect = "irreversible", work_ms = 10, patience_ms = 800 },
+]
+[[timeline]]
+at = 1
+do = "node_upgrade"
+who = ["node-0"]
+[[timeline]]
+at = 3
+do = "node_upgrade"
+who = ["node-0"]
+"""
+
 # Every trouble at once, most of them overlapping.
 EVENTS = (
     ("kill", "front-0", "seconds = 2"),
@@ -198,6 +222,14 @@
         self.assertLessEqual({"served", "silent", "reset", "spoilt"}, hows)
         self.assertEqual(left_over(self.folder), [])
 
+    def test_upgrades_under_load_cost_no_caller_a_connection(self) -> None:
+        outcome, status = play(UPGRADES, self.folder)
+        summary = outcome.summaries[0]
+        self.assertEqual(status, OK, (outcome.verdicts, summary.violations[:2]))
+        self.assertGreater(summary.figures["satisfied_part"], 0.9)
+        self.assertGreater(summary.figures["door_calls"], 40)
+        self.assertEqual(left_over(self.folder), [])
+
     def test_two_tiers_each_call_through_a_node_of_their_own(self) -> None:
         text = TROUBLES.replace(
             "[load]", "[[world.tiers]]\nname = 'deep'\nservers = 4\nwork_part = 0.5\n[load]"
