--- a/coraldeal/rig/nodes.py
+++ b/coraldeal/rig/nodes.py
@@ -234,10 +234,10 @@
         meeting.mkdir(exist_ok=True)
         return {"PROXY_OPERATOR": f"127.0.0.1:{self.door}", "TMPDIR": str(meeting)}
 
-    async def ask_door(self, line: bytes) -> bytes:
+    async def ask_door(self, line: bytes, door: int = 0) -> bytes:
         """One call; OSError or TimeoutError where nothing comes."""
         async with asyncio.timeout(DOOR_WAIT):
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.door)
+            reader, writer = await asyncio.open_connection("127.0.0.1", door or self.door)
             try:
                 writer.write(line + b"\n")
                 return await reader.read()
@@ -246,14 +246,18 @@
 
     async def upgrade(self, door: int, longest_s: float) -> None:
         """Start a process beside the one there, wait for its yes, end the other; raises ExperimentError."""
-        self.elder, self.door = self.process, door
+        self.elder = self.process
+        # Others go on asking the elder's door until the yes.
+        asked, self.door = self.door, door
         await self.start()
+        self.door = asked
         async with asyncio.timeout(READY_WAIT):
             while True:
                 if self.process is None or self.process.returncode is not None:
                     raise ExperimentError(f"{self.name} ended beside its elder: {self.last_words()}")
                 with contextlib.suppress(OSError, TimeoutError):
-                    if (await self.ask_door(b"status")).startswith(b"OK"):
+                    if (await self.ask_door(b"status", door)).startswith(b"OK"):
+                        self.door = door
                         break
                 await asyncio.sleep(0.02)
         elder = self.elder
