--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -360,6 +360,29 @@
         self.assertEqual(discovery.seen[1].line, "GET /v1/endpoints?watch=1 HTTP/1.1")
         self.assertEqual(list(node.node.balancer.servers), ["s0"])
 
+    async def test_a_line_cut_short_is_no_news_and_the_watch_goes_on_from_the_last_whole_one(self) -> None:
+        whole = json.dumps(server_list(3, False, entry("s0", "127.0.0.1:1", "Gone"))).encode()
+        for last in (b"", b"0\r\n\r\n"):
+            # Cut anywhere, at the line's last byte too; the answer's own end is whole or not.
+            for cut in (1, len(whole) // 2, len(whole)):
+
+                async def play(
+                    seen: Seen, reader: Any, writer: asyncio.StreamWriter, cut: int = cut, last: bytes = last
+                ) -> None:
+                    first = json.dumps(server_list(2, False)).encode() + b"\n"
+                    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    for piece in (first, whole[:cut]):
+                        writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+                    writer.write(last)
+                    writer.close()
+
+                with self.subTest(cut=cut, last=last):
+                    discovery = await self.stand_in(play)
+                    node = await self.node(await self.stand_in(), discovery=discovery.address)
+                    await until(lambda discovery=discovery: len(discovery.seen) >= 2)  # type: ignore[misc]
+                    self.assertEqual(discovery.seen[1].line, "GET /v1/endpoints?watch=1&after=2 HTTP/1.1")
+                    self.assertEqual(list(node.node.balancer.servers), ["s0"])
+
     async def test_a_new_configuration_moves_the_watch_and_a_faulty_one_changes_nothing(self) -> None:
         server, added = await self.stand_in(), await self.stand_in()
         first = await self.discovery(server_list(1, False))
