--- a/coraldeal/__main__.py
+++ b/coraldeal/__main__.py
@@ -58,11 +58,12 @@
     """Read the configuration and say what was understood."""
     config = _read(args)
     settings = config.settings
+    door = "none" if config.operator is None else "{}:{}".format(*config.operator)
     print(
         f"{config.name}: listens on {config.host}:{config.port}, tier {settings.layer}, "
         f"node {settings.self_index + 1} of {settings.instances}, "
         f"tracks {', '.join(track.name for track in settings.tracks)}, "
-        f"discovery {config.discovery or 'none'}, {config.sockets} descriptors"
+        f"discovery {config.discovery or 'none'}, {config.sockets} descriptors, operators' door {door}"
     )
     return 0
 
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -91,6 +91,8 @@
         self.host.balancer = self.inquiries.balancer = self.balancer
         self.rewatch_wait = REWATCH_LEAST
         self.draws = 0
+        # Whether a list was ever told, as of old, by the process before or by discovery.
+        self.has_list = False
         self.door: Door | None = None
         self.succession: Succession | None = None
 
@@ -211,8 +213,8 @@
         log.info("phase", extra={"pairs": pairs})
 
     def can_serve(self) -> bool:
-        """Whether this process answers inquiries now."""
-        return self.phase is Phase.READY
+        """Whether this process answers inquiries now: it takes them, and has been told of servers."""
+        return self.phase is Phase.READY and (self.has_list or self.config.discovery is None)
 
     def _is_ready(self) -> bool:
         return self.phase is Phase.READY
@@ -258,6 +260,7 @@
     # The list.
 
     def take_list(self, told: ServerList, kind: ListKind | None = None) -> None:
+        self.has_list = True
         lost = self.servers.learn(told.servers, told.whole)
         self.rewatch_wait = REWATCH_LEAST
         kind = kind or (ListKind.WHOLE if told.whole else ListKind.CHANGES)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -16,6 +16,7 @@
 from coraldeal.admin.commands import answer
 from coraldeal.config import SettingsError, lacking, node_config, read_node_config
 from coraldeal.net.servers import Connection, Target
+from coraldeal.net.wire import read_list
 from tests.standins import (
     SETTINGS,
     RunningNode,
@@ -147,6 +148,20 @@
         self.assertEqual([len(server.seen) for server in servers], [out[0], 1 - out[0]])
 
 
+class Yes(DoorCase):
+    async def test_only_with_a_list(self) -> None:
+        given = config(server_list(1, True), discovery="127.0.0.1:1")
+        running = RunningNode(replace(given, known=None, operator=("127.0.0.1", 0)))
+        await self.enterAsyncContext(running)
+        await until(lambda: running.node.door is not None and running.node.phase.value == "ready")
+        door = running.node.door
+        assert door is not None and door.listener is not None
+        self.port = door.listener.sockets[0].getsockname()[1]
+        self.assertTrue((await self.call(b"status\n")).startswith(b"ERR"))
+        running.node.take_list(read_list(server_list(1, True), 0))
+        self.assertEqual(await self.call(b"status\n"), b"OK\n")
+
+
 class Retuning(DoorCase):
     async def test_what_is_taken_and_what_is_turned_down(self) -> None:
         running = await self.start(await self.stand_in())
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -130,7 +130,15 @@
         first = await self.start()
         assert first.node.succession is not None
         path = first.node.succession.link.path
-        for what in ("nothing", "a file", "a stale socket", "one that says nothing", "half a state"):
+        kinds = (
+            "nothing",
+            "a file",
+            "a stale socket",
+            "one that says nothing",
+            "half a state",
+            "another format",
+        )
+        for what in kinds:
             with self.subTest(what), mock.patch.object(link_module, "ELDER_WAIT", 0.05):
                 path.unlink(missing_ok=True)
                 stand_in = socket.socket(socket.AF_UNIX)
@@ -138,23 +146,28 @@
                     path.write_text("{")
                 elif what != "nothing":
                     stand_in.bind(str(path))
-                if what in ("one that says nothing", "half a state"):
+                if what in kinds[3:]:
                     stand_in.listen()
                     stand_in.setblocking(False)
-                if what == "half a state":
-                    asyncio.get_running_loop().add_reader(stand_in, self.half, stand_in)
+                if what in kinds[4:]:
+                    told = (
+                        b'{"format":1,"state":{"li'
+                        if what == "half a state"
+                        else b'{"format":99,"state":{}}\n'
+                    )
+                    asyncio.get_running_loop().add_reader(stand_in, self.tell, stand_in, told)
                 running = await self.start()
                 asyncio.get_running_loop().remove_reader(stand_in)
                 stand_in.close()
                 self.assertIn("s0", running.node.balancer.servers)
                 running.node.callers.stop_listening()
 
-    def half(self, stand_in: socket.socket) -> None:
+    def tell(self, stand_in: socket.socket, told: bytes) -> None:
         near = stand_in.accept()[0]
         with socket.socket() as listening:
             listening.bind(("127.0.0.1", 0))
             socket.send_fds(near, [b"+"], [listening.fileno()])
-        near.sendall(b'{"format":1,"state":{"li')
+        near.sendall(told)
         near.close()
 
     async def test_a_state_of_another_kind_changes_nothing(self) -> None:
