--- a/coraldeal/handover/link.py
+++ b/coraldeal/handover/link.py
@@ -169,12 +169,16 @@
         self.newcomers[writer] = False
         self.terms.newcomer_came()
         log.info("a newcomer came")
-        self._send(writer, {"format": FORMAT, "state": self.side.state()})
-        await self._hear(reader, writer)
-        served = self.newcomers.pop(writer)
-        writer.close()
-        self.terms.newcomer_gone(served)
-        log.info("the newcomer is gone", extra={"pairs": {"served": served}})
+        try:
+            # Told after the terms: what is shared out is already halved in it.
+            self._send(writer, {"format": FORMAT, "state": self.side.state()})
+            await self._hear(reader, writer)
+        finally:
+            # Whatever ends it, this process must not go on as half of a node.
+            served = self.newcomers.pop(writer)
+            writer.close()
+            self.terms.newcomer_gone(served)
+            log.info("the newcomer is gone", extra={"pairs": {"served": served}})
         if not self.terms.ending and not self.newcomers:
             # It may have taken the meeting place.
             self._take_place()
@@ -223,8 +227,6 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for writer in self.newcomers:
-            writer.close()
         self._leave_elder()
 
 
