--- a/coraldeal/__main__.py
+++ b/coraldeal/__main__.py
@@ -7,12 +7,16 @@
 import os
 import sys
 from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from coraldeal import __version__
 from coraldeal.config import NodeConfig, SettingsError, read_node_config
 from coraldeal.logs import set_up
 from coraldeal.net.wire import read_list
 
+if TYPE_CHECKING:
+    from coraldeal.operator import OperatorFile
+
 EXAMPLES = """
 examples:
   coraldeal check --config example/config.json
@@ -36,19 +40,28 @@
     return config
 
 
+def _own(args: argparse.Namespace) -> OperatorFile | None:
+    """The operator's own file, where one is named."""
+    if not args.operator:
+        return None
+    from coraldeal.operator import read_operator
+
+    return read_operator(args.operator)
+
+
 def serve(args: argparse.Namespace) -> int:
     """Run one node until SIGTERM."""
     from coraldeal.net.node import Node
 
     set_up(args.log_level)
-    config = _read(args)
+    config, own = _read(args), _own(args)
 
     def read_anew() -> NodeConfig:
         # A file replaced since the start knows better than that start's environment where the list is.
         return _read(args, {key: value for key, value in os.environ.items() if key != "PROXY_DISCOVERY"})
 
     async def run() -> None:
-        await Node(config, read_anew).run()
+        await Node(config, read_anew, own).run()
 
     asyncio.run(run())
     return 0
@@ -56,7 +69,7 @@
 
 def check(args: argparse.Namespace) -> int:
     """Read the configuration and say what was understood."""
-    config = _read(args)
+    config, own = _read(args), _own(args)
     settings = config.settings
     door = "none" if config.operator is None else "{}:{}".format(*config.operator)
     print(
@@ -65,6 +78,11 @@
         f"tracks {', '.join(track.name for track in settings.tracks)}, "
         f"discovery {config.discovery or 'none'}, {config.sockets} descriptors, operators' door {door}"
     )
+    if own is not None:
+        learned = "as learned from closes" if own.connections.learn else "as configured"
+        oldest = own.connections.oldest_seconds
+        age = f"to an age of {oldest:g} s at the most" if oldest else "however old"
+        print(f"connections to servers: used again {learned}, {age}")
     return 0
 
 
@@ -105,6 +123,7 @@
             command.add_argument(
                 "--config", default=os.environ.get("PROXY_CONFIG"), help="JSON file (default: $PROXY_CONFIG)"
             )
+            command.add_argument("--operator", help="the operator's own file, TOML (default: none)")
         if function is serve:
             levels = ("debug", "info", "warning", "error")
             command.add_argument("--log-level", choices=levels, default="info", help="default: info")
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -61,6 +61,8 @@
         # When the node ends: no answer may come later than that.
         self.until: int | None = None
         self.balancer: Balancer | None = None
+        # Tracks that must not run twice.
+        self.irreversible: dict[str, None] = {}
 
     async def live(self, call: Call, left_us: int, unread_us: int) -> Answer:
         """One inquiry, from its arrival to its final answer. The task is cancelled when the client leaves.
@@ -131,7 +133,8 @@
         """One trip; where the body is still to come, times run from its last byte on."""
         message = call.written(min(choice.timeout_us, wait_us))
         if call.rest is None:
-            return await self.servers.trip(choice.server, message, choice.timeout_us)
+            careful = call.track in self.irreversible
+            return await self.servers.trip(choice.server, message, choice.timeout_us, careful=careful)
         balancer = self.balancer
         assert balancer is not None
         balancer.body_coming(inquiry.name)
@@ -148,7 +151,12 @@
 
         try:
             return await self.servers.trip(
-                choice.server, message, min(choice.timeout_us, wait_us), call=call, on_body_sent=sent
+                choice.server,
+                message,
+                min(choice.timeout_us, wait_us),
+                call=call,
+                on_body_sent=sent,
+                careful=call.track in self.irreversible,
             )
         finally:
             if timer.when() is None:
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -17,7 +17,7 @@
 
 from coraldeal.balance import Balancer
 from coraldeal.config import NodeConfig, SettingsError, lacking
-from coraldeal.interface import Condition, Entry, ListKind, ServerId
+from coraldeal.interface import Condition, Effect, Entry, ListKind, ServerId, Settings
 from coraldeal.net.callers import Callers
 from coraldeal.net.discovery import Discovery
 from coraldeal.net.figures import Figures
@@ -28,7 +28,9 @@
 
 if TYPE_CHECKING:
     from coraldeal.admin.listener import Door
+    from coraldeal.connections.ages import Ages
     from coraldeal.net.succession import Succession
+    from coraldeal.operator import OperatorFile
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +49,10 @@
 RESTART_KEYS = ("name", "host", "port", "operator")
 
 
+def _irreversible(settings: Settings) -> dict[str, None]:
+    return {track.name: None for track in settings.tracks if track.effect is Effect.IRREVERSIBLE}
+
+
 class Phase(enum.Enum):
     """Where a node is in its life."""
 
@@ -59,7 +65,12 @@
 class Node:
     """Puts the parts together and leads them from start to end."""
 
-    def __init__(self, config: NodeConfig, read_anew: Callable[[], NodeConfig] | None = None) -> None:
+    def __init__(
+        self,
+        config: NodeConfig,
+        read_anew: Callable[[], NodeConfig] | None = None,
+        own: OperatorFile | None = None,
+    ) -> None:
         self.config = config
         self.read_anew = read_anew
         self.phase = Phase.STARTING
@@ -75,8 +86,10 @@
             self._make_room,
             self._may_send,
             self.figures,
+            *self._connections(own),
         )
         self.inquiries = Inquiries(self.servers)
+        self.inquiries.irreversible = _irreversible(settings)
         patience = {track.name: track.patience_us for track in settings.tracks}
         live = self.inquiries.live
         self.callers = Callers(
@@ -96,6 +109,14 @@
         self.door: Door | None = None
         self.succession: Succession | None = None
 
+    def _connections(self, own: OperatorFile | None) -> tuple[Ages | None, float]:
+        """What the operator's own file asks of connections to servers."""
+        if own is None or not own.connections.learn:
+            return None, own.connections.oldest_seconds if own is not None else 0.0
+        from coraldeal.connections.ages import Ages
+
+        return Ages(self.config.conn_idle_us, own.connections.risk), own.connections.oldest_seconds
+
     async def run(self) -> None:
         """The node's whole life."""
         loop = asyncio.get_running_loop()
@@ -158,6 +179,7 @@
             self.balancer.settings_changed(new.settings)
             self.callers.tracks = {track.name: track.patience_us for track in new.settings.tracks}
             self.figures.know(self.callers.tracks)
+            self.inquiries.irreversible = _irreversible(new.settings)
             self.host.with_reports = bool(new.settings.report_fields)
         self.servers.go_by(new.conn_idle_us, new.connect_timeout_us)
         if new.discovery != old.discovery:
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -8,8 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import socket
+import termios
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
+from zlib import crc32
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -29,6 +33,9 @@
     read_report,
 )
 
+if TYPE_CHECKING:
+    from coraldeal.connections.ages import Ages, Rests
+
 # The part of a server's idle limit after which a connection is not used again, and how often, as a part of
 # it, such connections are looked for and closed.
 IDLE_PART = 0.7
@@ -47,6 +54,8 @@
 LAST_WORD = 0.1
 # How long a probe may take beyond the time for a connection.
 PROBE_WAIT = 0.25
+# The state of a connection that neither side has begun to end, as struct tcp_info has it.
+TCP_ESTABLISHED = 1
 END_OF_HEAD = b"\r\n\r\n"
 
 
@@ -70,11 +79,14 @@
         self.target = target
         # Since when it has been at rest; 0: in use.
         self.free_at = 0.0
+        # How long it rested before the trip that it carries, in seconds; 0: it is fresh.
+        self.rested = 0.0
+        self.made_at = servers.loop.time()
         self.begin()
 
     def begin(self) -> None:
         """An answer is waited for from here on."""
-        self._leave_rest()
+        self._leave_rest(closed=False)
         self.head_seen = False
         # Bytes of the body still to come; None: its end shows by itself.
         self.body_left: int | None = None
@@ -88,14 +100,16 @@
         self.free_at = self.servers.loop.time()
         self.target.idle.append(self)
 
-    def _leave_rest(self) -> None:
+    def _leave_rest(self, closed: bool) -> None:
         if self.free_at:
             self.target.idle.remove(self)
+            self.rested = self.servers.loop.time() - self.free_at
             self.free_at = 0.0
+            self.servers.rest_ended(self.target, self.rested, closed)
 
     def drop(self) -> None:
         """Close it; at rest, it is out of the way at once."""
-        self._leave_rest()
+        self._leave_rest(closed=False)
         self.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -109,7 +123,7 @@
             self._payload.set_exception(aiohttp.ClientPayloadError(f"broken off: {exc}"))
         super().connection_lost(exc)
         self.servers.open -= 1
-        self._leave_rest()
+        self._leave_rest(closed=True)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """The parser has read a head."""
@@ -183,7 +197,7 @@
 class Target:
     """Where a server is reached, and the connections to it."""
 
-    __slots__ = ("address", "host", "idle", "listed", "port")
+    __slots__ = ("address", "host", "idle", "listed", "port", "rests")
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -194,6 +208,8 @@
         self.listed = True
         # At rest, the one used last at the end.
         self.idle: list[Connection] = []
+        # What is learned of its rests, where that is asked for.
+        self.rests: Rests | None = None
 
     def close_idle(self) -> None:
         for connection in list(self.idle):
@@ -211,7 +227,13 @@
         make_room: Callable[[], None],
         may_send: Callable[[ServerId], bool],
         figures: Figures,
+        ages: Ages | None = None,
+        oldest: float = 0.0,
     ) -> None:
+        # What is learned of closes, and after how many seconds a connection is too old.
+        self.ages = ages
+        self.oldest = oldest
+        self.draws = 0
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.targets: dict[ServerId, Target] = {}
@@ -241,10 +263,30 @@
         """Close what has been idle too long."""
         now = self.loop.time()
         for target in self.targets.values():
-            while target.idle and target.idle[0].free_at < now - self.keep_idle:
+            keep = self._keep(target, careful=False)
+            while target.idle and target.idle[0].free_at < now - keep:
                 target.idle[0].drop()
         self.sweeper = self.loop.call_later(self.sweep_every, self._sweep)
 
+    def _keep(self, target: Target, careful: bool) -> float:
+        """Up to which age, in seconds, a connection at rest may be used again."""
+        if self.ages is None or target.rests is None:
+            return self.keep_idle
+        age = self.ages.sure(target.rests) if careful else self.ages.usable(target.rests)
+        return min(self.keep_idle, age / 1e6)
+
+    def rest_ended(self, target: Target, rested: float, closed: bool) -> None:
+        if self.ages is not None and target.rests is not None:
+            self.ages.ended(target.rests, int(rested * 1e6), closed, self.clock())
+
+    def _is_old(self, connection: Connection) -> bool:
+        """Whether its age is over; by chance up to a quarter sooner, so that not all go at once."""
+        if not self.oldest:
+            return False
+        self.draws += 1
+        chance = crc32(f"{connection.target.address} {self.draws}".encode()) / 2**32
+        return self.loop.time() - connection.made_at > self.oldest * (1 - chance / 4)
+
     @property
     def held(self) -> int:
         """Descriptors in use, idle or not."""
@@ -283,6 +325,8 @@
                 self._remove(other)
                 lost.append(other)
             self.targets[server] = Target(address)
+            if self.ages is not None:
+                self.targets[server].rests = self.ages.server()
         return lost
 
     def _remove(self, server: ServerId) -> None:
@@ -298,10 +342,12 @@
         is_probe: bool = False,
         call: Call | None = None,
         on_body_sent: Callable[[], None] | None = None,
+        careful: bool = False,
     ) -> TripEnd:
         """One trip, from its connection to its end; cancelling it is stopping it.
 
-        `call`: one whose body is still to come; its time counts from that body's last byte.
+        `call`: one whose body is still to come; its time counts from that body's last byte. `careful`: it may
+        not run twice, so no connection that its server may be closing will do.
         """
         started = self.clock()
         target = self.targets.get(server)
@@ -315,7 +361,7 @@
         reading: asyncio.Task[Told] | None = None
         try:
             async with asyncio.timeout(timeout_us / 1e6) as timer:
-                connection = await self._connect(target)
+                connection = await self._connect(target, careful)
                 connection.set_response_params(
                     auto_decompress=False, read_until_eof=True, read_timeout=STALL, read_bufsize=BODY_MOST
                 )
@@ -354,6 +400,9 @@
             # Proved not run only if the last byte was never written.
             if handed_over and not _bytes_left(connection):
                 outcome = Outcome.RESET
+                if connection is not None and connection.rested and not connection.head_seen:
+                    # Most likely it crossed the server's close.
+                    self.rest_ended(target, connection.rested, closed=True)
         finally:
             if reading is not None:
                 reading.cancel()
@@ -374,13 +423,18 @@
             return TripEnd(end.outcome, end.latency_us, read_report(text) or end.report)
         return end
 
-    async def _connect(self, target: Target) -> Connection:
+    async def _connect(self, target: Target, careful: bool = False) -> Connection:
         """The connection used last, if it has settled, so that the others run out; else a new one."""
         now = self.loop.time()
-        for connection in reversed(target.idle):
+        keep = self._keep(target, careful)
+        for connection in target.idle[::-1]:
             if connection.free_at <= now - SETTLING:
-                if connection.free_at < now - self.keep_idle:
+                if connection.free_at < now - keep:
                     break
+                if self.ages is not None and not _is_quiet(connection):
+                    # The server's close, or something unasked, has come and was not read yet.
+                    connection.drop()
+                    continue
                 connection.begin()
                 return connection
         self.make_room()
@@ -439,7 +493,11 @@
         if _bytes_left(connection):
             # Bytes not yet written must not follow: the connection ends at once, not after them.
             connection.abort()
-        elif answered and connection.target.listed and not (connection.surplus or connection.should_close):
+        elif (
+            answered
+            and connection.target.listed
+            and not (connection.surplus or connection.should_close or self._is_old(connection))
+        ):
             connection.rest()
         else:
             connection.close()
@@ -480,6 +538,17 @@
         return *head, bytes(body), None
 
 
+def _is_quiet(connection: Connection) -> bool:
+    """Whether nothing has come on a connection at rest, no close and no byte, as the system knows it."""
+    if connection.transport is None:
+        return False
+    near = connection.transport.get_extra_info("socket")
+    # struct tcp_info: tcpi_state is its first byte.
+    state = near.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    unread = fcntl.ioctl(near.fileno(), termios.FIONREAD, bytes(4))
+    return bool(state == TCP_ESTABLISHED and not any(unread))
+
+
 def _bytes_left(connection: Connection | None) -> bool:
     """Whether some of what was handed over never reached the socket."""
     return connection is not None and connection.writing_paused
--- a/coraldeal/rig/experiment.py
+++ b/coraldeal/rig/experiment.py
@@ -228,6 +228,8 @@
     set: dict[str, Any] = {}
     # Keys of the node's own configuration that differ, by their path.
     node: dict[str, Any] = {}
+    # Keys of the operator's own file, by their path.
+    operator: dict[str, Any] = {}
     # The program at this commit; empty: as it stands.
     commit: str = ""
     # A baseline in place of the decisions: random, round_robin, least_requests, or a planted fault.
@@ -251,6 +253,8 @@
     troubles: RandomTroubles = msgspec.field(default_factory=RandomTroubles)
     # Keys of the nodes' configuration, by their path.
     node: dict[str, Any] = {}
+    # Keys of the operator's own file, by their path.
+    operator: dict[str, Any] = {}
     variants: list[Variant] = []
     # Lists of values by the path of their key: one variant for each combination of them.
     matrix: dict[str, list[Any]] = {}
@@ -396,6 +400,7 @@
                     name=name,
                     set={**variant.set, **more},
                     node=variant.node,
+                    operator=variant.operator,
                     commit=variant.commit,
                     policy=variant.policy,
                 )
--- a/coraldeal/rig/nodes.py
+++ b/coraldeal/rig/nodes.py
@@ -169,6 +169,8 @@
         self.folder = folder
         self.program = program
         self.config: dict[str, Any] = {}
+        # Keys of the operator's own file.
+        self.own: dict[str, Any] = {}
         self.path = folder / f"{name}.json"
         self.process: asyncio.subprocess.Process | None = None
         # While a new version takes over: the process before.
@@ -204,6 +206,13 @@
         for told in (experiment.node, variant.node):
             for key, value in told.items():
                 put(config, key, value, f"node of variant {variant.name}")
+        self.own = {**experiment.operator, **variant.operator}
+        tables: dict[str, list[str]] = {}
+        for path, value in self.own.items():
+            table, _, key = path.partition(".")
+            tables.setdefault(table, []).append(f"{key} = {json.dumps(value)}")
+        text = "".join(f"[{table}]\n" + "\n".join(lines) + "\n" for table, lines in tables.items())
+        self.path.with_suffix(".toml").write_text(text, encoding="utf-8")
         self.config = config
         self.path.write_text(json.dumps(config, indent=1), encoding="utf-8")
 
@@ -216,6 +225,7 @@
                 *self.program.command,
                 "--config",
                 str(self.path),
+                *(["--operator", str(self.path.with_suffix(".toml"))] if self.own else []),
                 cwd=self.program.folder,
                 env={**os.environ, **self.program.env, **self.door_env()},
                 stdin=asyncio.subprocess.DEVNULL,
