--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -364,10 +364,15 @@
         self._place(inquiry, now)
 
     def body_coming(self, name: InquiryId) -> None:
-        """A large body is passed on to the trip out as it comes: until its last byte no time counts."""
+        """A large body is passed on to the trip out as it comes: until its last byte no time counts.
+
+        Nor does its place: the server has not begun, and one slow sender would hold others back.
+        """
         inquiry = self.inquiries.get(name)
         if inquiry is not None and inquiry.out is not None:
             inquiry.out.overdue_at = inquiry.end = 1 << 62
+            inquiry.out.server.trips.pop((name, inquiry.out.number), None)
+            self._fill(self.host.now)
 
     def body_sent(self, name: InquiryId) -> None:
         """Its last byte was passed on: the server begins, and the inquiry's time."""
@@ -375,6 +380,7 @@
         if inquiry is not None and inquiry.out is not None:
             inquiry.end = now + inquiry.span
             inquiry.out.sent_at, inquiry.out.overdue_at = now, now + int(2 * inquiry.state.slow)
+            inquiry.out.server.trips[name, inquiry.out.number] = inquiry.out
 
     def body_spent(self, name: InquiryId) -> None:
         """Part of it is passed on and gone: no further trip can carry it."""
@@ -402,7 +408,7 @@
         trip = self.trips.pop((name, number), None)
         if trip is None:
             return
-        del trip.server.trips[name, number]
+        trip.server.trips.pop((name, number), None)
         self._judge(trip, outcome, latency_us, now)
         inquiry = trip.inquiry
         inquiry.out = None
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -139,6 +139,11 @@
     def do_told(self, name: str, condition: str, **o: str) -> None:
         self.started().servers_listed(ListKind.CHANGES, [self.entry(name, condition, o)])
 
+    def do_body(self, name: str, what: str) -> None:
+        balancer = self.started()
+        told = {"coming": balancer.body_coming, "sent": balancer.body_sent, "spent": balancer.body_spent}
+        told[what](int(name))
+
     def do_by_hand(self, act: str, name: str, answer: str) -> None:
         balancer = self.started()
         known = balancer.leave_out(name) if act == "out" else balancer.put_back(name)
