--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -272,19 +272,19 @@
                 self.figures.ended(track, bad.status)
             plain = (("Content-Type", "text/plain"),)
             return self._response(Answer(bad.status, f"{bad}\n".encode(), plain), close=True)
+        if call.rest is not None:
+            # An early answer may find its caller still sending: closing at once would take it back.
+            connection._lingering_time = LINGER
         if self.is_crowded():
             # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
             self.figures.ended(call.track, 503)
             return self._response(Answer(503), close=True)
-        patience = self.tracks.get(call.track, 0) if call.left_us is None else call.left_us
-        if call.rest is not None:
-            # An early answer may find its caller still sending: closing at once would take it back.
-            request.protocol._lingering_time = LINGER
+        patience = self.tracks[call.track] if call.left_us is None else call.left_us
         answer = await self.live(call, patience, 0 if call.rest else _unread_us(request))
         if answer.rest is not None:
             return await self._pass_on(request, call, answer, answer.rest)
         self.figures.ended(call.track, answer.status)
-        return self._response(answer)
+        return self._response(answer, close=call.rest is not None and not request.content.is_eof())
 
     async def _pass_on(
         self, request: web.BaseRequest, call: Call, answer: Answer, rest: Rest
@@ -315,6 +315,9 @@
             log.info("answer broken off", extra={"pairs": {"why": str(error) or "its caller is too slow"}})
             if request.transport is not None:
                 request.transport.abort()
+        except ConnectionError:
+            # The caller has gone: nothing is owed.
+            pass
         finally:
             self.passing -= 1
             rest.close()
@@ -332,7 +335,6 @@
             raise BadCall(400, "Transfer-Encoding is not chunked")
         if (request.content_length or 0) > BODY_LARGEST:
             raise BadCall(413, f"the body is longer than {BODY_LARGEST} bytes")
-        tracks = self.tracks
         if fields.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body, rest = bytearray(), None
@@ -346,8 +348,8 @@
                     rest = Body(request.content, request.content_length, len(body), progress)
                     break
         raw = request.raw_headers
-        # The tracks as they were when its head came: settings may have changed since.
-        call = read_call(request.method, request.raw_path, fields, raw, bytes(body), tracks)
+        # By the settings of now: a request whose body was still coming when they changed was not taken yet.
+        call = read_call(request.method, request.raw_path, fields, raw, bytes(body), self.tracks)
         return call if rest is None else replace(call, rest=rest, length=request.content_length)
 
     def _turned_away(self, status: int) -> None:
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -129,7 +129,10 @@
         """The parser has read a head."""
         message, payload = data
         super().feed_data(data, size)
-        if message.code >= 200:
+        if message.code < 200:
+            # The answer itself may take its time: only one that has begun may not stop.
+            self._drop_timeout()
+        else:
             self.head_seen = True
             length = message.headers.get("Content-Length")
             if payload.is_eof():
@@ -185,7 +188,8 @@
     async def read(self) -> bytes:
         """The next piece, empty at the end; Spoilt where the server breaks off or stops for long."""
         try:
-            return bytes(await self.payload.readany())
+            piece: bytes = await self.payload.readany()
+            return piece
         except (OSError, aiohttp.ClientError, aiohttp.http.HttpProcessingError) as error:
             raise Spoilt(f"broken off: {error}") from None
 
@@ -521,13 +525,10 @@
         length = message.headers.get("Content-Length")
         if payload.is_eof() or length is None or message.chunked:
             length = None
-        if message.code != 200:
-            # Nothing of it goes to the caller but what its status says; a long one is not read.
-            return *head, await payload.read(BODY_MOST) if int(length or 0) <= BODY_MOST else b"", None
         told = None if length is None else int(length)
         if (told or 0) > BODY_LARGEST:
             raise Spoilt("the answer says that it is too large")
-        may_be_large = told is None or told > BODY_MOST
+        may_be_large = message.code == 200 and (told is None or told > BODY_MOST)
         body, commit_at = bytearray(), 0.0
         while chunk := await payload.readany():
             now = self.loop.time()
@@ -535,6 +536,9 @@
             body += chunk
             if may_be_large and (len(body) > BODY_MOST or now >= commit_at):
                 return *head, bytes(body), Rest(self, connection, payload, told)
+            if len(body) > BODY_MOST:
+                # Of any other status nothing more is wanted than that; its connection is closed.
+                break
         return *head, bytes(body), None
 
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -7,6 +7,7 @@
 import hashlib
 import random
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
@@ -233,6 +234,29 @@
 
 
 class Forms(BodiesCase):
+    async def test_an_answer_may_take_its_time_behind_what_comes_ahead_of_it(self) -> None:
+        async def play(seen: Seen, reader: Any, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+            await asyncio.sleep(0.15)
+            writer.write(answer())
+
+        caller = await (await self.node(play)).caller()
+        with mock.patch("coraldeal.net.servers.STALL", 0.05):
+            self.assertEqual((await caller.ask("write", b"x"))[0], 200)
+
+    async def test_a_class_dropped_while_its_body_came(self) -> None:
+        running = await self.node(answer)  # type: ignore[arg-type]
+        caller = await running.caller()
+        caller.raw(b"POST /low/x HTTP/1.1\r\nHost: n\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\na")
+        await until(lambda: running.node.callers.kept == 1)
+        settings = running.node.config.settings
+        kept = replace(settings, tracks=settings.tracks[:2])
+        running.node.read_anew = lambda: replace(running.node.config, settings=kept)
+        running.node.reload()
+        caller.raw(b"b")
+        self.assertEqual(await caller.status(), 404)
+        self.assertEqual(self.server.seen, [])
+
     async def test_a_request_cut_at_every_byte(self) -> None:
         async def play(seen: Seen, reader: Any, writer: asyncio.StreamWriter) -> None:
             writer.write(answer(200, seen.body))
