The rig's baselines say who may be sent to; a test follows the careful choice

make test had two failures: the baselines in place of the module lacked may_send, which a trip now asks right before its first byte, so that all their inquiries failed; and a test's stand-in for the connecting did not take the new argument.

--- a/coraldeal/rig/baseline.py
+++ b/coraldeal/rig/baseline.py
@@ -125,6 +125,9 @@
         else:
             self.go(asked)
 
+    def may_send(self, server: ServerId) -> bool:
+        return server in self.servers
+
     def client_left(self, name: InquiryId) -> None:
         asked = self.asked.pop(name, None)
         if asked is not None and asked.out is not None:
@@ -205,6 +208,9 @@
 class SendsAfterDrain(Plain):
     """Planted fault: what the list says of drains is not heard."""
 
+    def may_send(self, server: ServerId) -> bool:
+        return True
+
     def servers_listed(self, kind: ListKind, entries: list[Entry]) -> None:
         kept = [entry for entry in entries if entry.condition is Condition.READY]
         super().servers_listed(ListKind.CHANGES, kept)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -137,11 +137,11 @@
         connect = running.node.servers._connect
         out: list[int] = []
 
-        async def slowly(target: Target) -> Connection:
+        async def slowly(target: Target, careful: bool = False) -> Connection:
             if not out:
                 out.extend(i for i, server in enumerate(servers) if server.address == target.address)
                 self.assertEqual(await self.call(b"maint-on s%d\n" % out[0]), b"OK\n")
-            return await connect(target)
+            return await connect(target, careful)
 
         with mock.patch.object(running.node.servers, "_connect", slowly):
             self.assertEqual((await caller.ask("write", b"x"))[0], 200)
