One way to open a listening address; a parser is made once for each trip

The door and the callers' listener each bound their own socket by the same five lines: coraldeal/net/listening.py serves both. A HEAD made its parser twice. Body.length stood beside Call.length and nobody read it; the planted drain fault had a may_send that its parent already is. Behaviour is as it was: tests of door, handover, bodies, trips and planted faults pass unchanged.

--- a/coraldeal/admin/listener.py
+++ b/coraldeal/admin/listener.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 from coraldeal.admin.commands import Desk, answer
+from coraldeal.net.listening import listening_socket
 
 # The longest line, in bytes; how many seconds a caller may take for one; how many callers are kept at once.
 LINE_MOST = 1024
@@ -65,10 +65,7 @@
 
     async def open(self, host: str, port: int) -> None:
         """Listen; OSError where the address is taken."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listening = socket.socket(family, socket.SOCK_STREAM)
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, port))
+        listening = listening_socket(host, port)
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: _Caller(self), sock=listening, backlog=BACKLOG)
 
--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -64,12 +64,10 @@
 class Body:
     """What is still to come of a caller's body, behind the part that was kept."""
 
-    __slots__ = ("begun", "content", "fault", "length", "progress", "read_in_all")
+    __slots__ = ("begun", "content", "fault", "progress", "read_in_all")
 
-    def __init__(self, content: StreamReader, length: int | None, kept: int, progress: Progress) -> None:
+    def __init__(self, content: StreamReader, kept: int, progress: Progress) -> None:
         self.content = content
-        # Of the whole body; None: its end shows by itself.
-        self.length = length
         self.progress = progress
         self.read_in_all = kept
         # Whether some of it was passed on: then no further trip can carry the whole.
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -28,6 +28,7 @@
     read_little,
 )
 from coraldeal.net.figures import Figures
+from coraldeal.net.listening import listening_socket
 from coraldeal.net.servers import Rest, Spoilt
 from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
 
@@ -168,12 +169,7 @@
         `shared`: a process started later may listen on the same address even if it was not handed the socket.
         """
         if listening is None:
-            family = socket.AF_INET6 if ":" in host else socket.AF_INET
-            listening = socket.socket(family, socket.SOCK_STREAM)
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if shared:
-                listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            listening.bind((host, port))
+            listening = listening_socket(host, port, shared)
         self.listening = listening
         await self._accept()
 
@@ -345,7 +341,7 @@
                 connection.kept += len(piece)
                 self.kept += len(piece)
                 if len(body) > (KEPT_MOST if self.kept <= KEPT_ALL else BODY_MOST):
-                    rest = Body(request.content, request.content_length, len(body), progress)
+                    rest = Body(request.content, len(body), progress)
                     break
         raw = request.raw_headers
         # By the settings of now: a request whose body was still coming when they changed was not taken yet.
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -367,15 +367,15 @@
             async with asyncio.timeout(timeout_us / 1e6) as timer:
                 connection = await self._connect(target, careful)
                 connection.set_response_params(
-                    auto_decompress=False, read_until_eof=True, read_timeout=STALL, read_bufsize=BODY_MOST
+                    auto_decompress=False,
+                    read_until_eof=True,
+                    read_timeout=STALL,
+                    read_bufsize=BODY_MOST,
+                    skip_payload=message.startswith(b"HEAD "),
                 )
                 if not self.may_send(server):
                     # It drains or was left out between the choice and the first byte.
                     return TripEnd(Outcome.MOOT, self.clock() - started)
-                if message.startswith(b"HEAD "):
-                    connection.set_response_params(
-                        auto_decompress=False, read_until_eof=True, read_timeout=STALL, skip_payload=True
-                    )
                 if not self._write(connection, message):
                     raise ConnectionError("closed before the first byte")
                 handed_over = call is None
--- a/coraldeal/rig/baseline.py
+++ b/coraldeal/rig/baseline.py
@@ -208,9 +208,6 @@
 class SendsAfterDrain(Plain):
     """Planted fault: what the list says of drains is not heard."""
 
-    def may_send(self, server: ServerId) -> bool:
-        return True
-
     def servers_listed(self, kind: ListKind, entries: list[Entry]) -> None:
         kept = [entry for entry in entries if entry.condition is Condition.READY]
         super().servers_listed(ListKind.CHANGES, kept)
