A system that refuses Unix sockets no longer ends a node that has an operators' door

Seen: with socket.socket(AF_UNIX) refused (errno 97), Link.serve raised out of Node.run, a refused start; only where operator is configured, for the handover is not imported otherwise. At fault: link.py _take_place made the socket before its try. Now one line, 'no place to meet a newcomer', and the node serves. The test fails without the mend (OSError out of run; checked).

--- a/coraldeal/handover/link.py
+++ b/coraldeal/handover/link.py
@@ -128,7 +128,12 @@
     # An elder's steps.
 
     def _take_place(self) -> None:
-        meeting = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        # Some systems refuse such sockets altogether: this process then serves without a successor.
+        try:
+            meeting = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        except OSError as error:
+            log.warning("no place to meet a newcomer", extra={"pairs": {"why": error}})
+            return
         try:
             # What stands there is the elder's, or was left by a process long gone.
             self.path.unlink(missing_ok=True)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,6 +9,7 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
 from coraldeal.handover import link as link_module
@@ -170,6 +171,23 @@
         near.sendall(told)
         near.close()
 
+    async def test_a_system_that_refuses_unix_sockets_is_told_of_once_and_the_node_serves(self) -> None:
+        real = socket.socket
+
+        def refused(family: int = -1, *rest: Any, **more: Any) -> socket.socket:
+            if family == socket.AF_UNIX:
+                raise OSError(97, "Address family not supported by protocol")
+            return real(family, *rest, **more)
+
+        with (
+            mock.patch("socket.socket", refused),
+            self.assertLogs("coraldeal", "WARNING") as logs,
+        ):
+            running = await self.start()
+            status, _ = await (await running.caller()).ask()
+        self.assertEqual(status, 200)
+        self.assertEqual(len(logs.output), 1)
+
     async def test_a_state_of_another_kind_changes_nothing(self) -> None:
         balancer = (await self.start()).node.balancer
         before = json.dumps(learned(balancer))
