Lists may come indented, and a watch that fell silent is opened anew at once

Seen: the watch took each line of text for an object, so that an indented list ended it as unreadable, again and again; the bytes kept of an unfinished object had no bound; 5 s of silence, a wait of 0.1 to 1.5 s by chance and a connect of up to 2 s stood against the 6 s after which what was missed counts as told; a dribbling object kept a dead watch for good; changes of a discovery that was set back were taken for changes of the list held.

Now objects are found by their braces (wire.Objects), bounded; only what is whole is a sign of life; two lines missed (4.3 s, one comes every 2 s) end the watch, and the next one is opened with no wait.

--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -5,17 +5,22 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 
-from coraldeal.net.wire import LIST_PATH, ServerList
+from coraldeal.net.wire import LIST_PATH, Objects, ServerList
 
 log = logging.getLogger(__name__)
 
-# Discovery sends a line every 2 s; this much silence is a dead watch.
-SILENCE = 5.0
-CONNECT_WAIT = 2.0
+T = TypeVar("T")
+
+# Discovery sends a line every 2 s: when two of them are missing the watch is dead. What such a watch has
+# missed counts as told 6 s after it fell silent, so the rest of that is for the next one.
+SILENCE = 4.3
+# How long a connection may take to come up: one that does not must leave time for a further try within
+# these 6 s.
+CONNECT_WAIT = 1.0
 
 
 class Discovery:
@@ -58,40 +63,64 @@
             await asyncio.gather(self.task, return_exceptions=True)
 
     async def _watch(self) -> None:
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_WAIT, sock_read=SILENCE)
+        # A watch that fell silent is opened anew at once, each time: it took `SILENCE`, which spares
+        # discovery enough, and with a wait on top the changes that it missed came too late. Any other end
+        # is told.
+        while await self._fell_silent():
+            pass
+        # From the loop, when this watch is done, so that the next one may begin at once.
+        asyncio.get_running_loop().call_soon(self.on_failure)
+
+    async def _fell_silent(self) -> bool:
+        """One watch, to its end; whether that was silence."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_WAIT)
         url = f"http://{self.address}{LIST_PATH}?watch=1"
         if self.version >= 0:
             url += f"&after={self.version}"
         why = "it ended"
+        loop = asyncio.get_running_loop()
+        silence = asyncio.timeout(SILENCE)
         try:
             connector = aiohttp.TCPConnector(force_close=True, happy_eyeballs_delay=None)
             async with (
+                silence,
                 aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
                 session.get(url, allow_redirects=False) as answer,
             ):
                 answer.raise_for_status()
-                left = b""
-                async for chunk in answer.content.iter_any():
-                    *lines, left = (left + chunk).split(b"\n")
-                    for line in lines:
-                        if line.strip():
-                            self._told(line)
+                objects = Objects()
+                async for piece in answer.content.iter_any():
+                    # Only what is whole is a sign of life: an object that dribbles, or stops half-way behind
+                    # blanks of its own, must not keep a dead watch.
+                    if self._told(objects, piece) or not objects.begun:
+                        silence.reschedule(loop.time() + SILENCE)
         except (OSError, TimeoutError, aiohttp.ClientError) as error:
-            why = f"{type(error).__name__}: {error}"
+            why = "it fell silent" if silence.expired() else f"{type(error).__name__}: {error}"
         except Exception:
             # A bug on the way to the module must not end the watching for good.
             log.exception("watch failed")
             why = "a bug"
         log.info("watch over", extra={"pairs": {"why": why, "version": self.version}})
-        # From the loop, when this watch is done, so that the next one may begin at once.
-        asyncio.get_running_loop().call_soon(self.on_failure)
+        return silence.expired()
+
+    def _told(self, objects: Objects, piece: bytes) -> int:
+        """How many objects are whole with this piece, each of them told."""
+        whole = self._readable(lambda: objects.feed(piece))
+        for text in whole:
+            told = self._readable(lambda text=text: self.read(text))  # type: ignore[misc]
+            is_back = not told.whole and told.version < self.version
+            self.version = -1 if is_back else told.version
+            self.on_list(told)
+            if is_back:
+                # Discovery was set back: these are not the changes since the list held, and the rest of them
+                # would never come.
+                raise aiohttp.ClientPayloadError(f"its versions went back to {told.version}")
+        return len(whole)
 
-    def _told(self, line: bytes) -> None:
+    def _readable(self, read: Callable[[], T]) -> T:
         try:
-            told = self.read(line)
+            return read()
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             # The list held stays, and the whole of it is asked for next: changes may have been missed.
             self.version = -1
             raise aiohttp.ClientPayloadError(f"unreadable, {type(error).__name__}: {error}") from None
-        self.version = told.version
-        self.on_list(told)
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -45,6 +45,11 @@
 NOT_TO_SERVERS = OF_THE_HOP | {b"req-deadline", b"req-retry"}
 NOT_TO_CALLERS = OF_THE_HOP | {b"srv-load", b"srv-declined", b"date", b"server"}
 
+# What frames an object in a stream of JSON: whole strings, braces, and the quote of a string not yet whole.
+_FRAME = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}"]', re.DOTALL)
+# An object of a watch may hold so many bytes; a list of ten thousand servers has some two million.
+OBJECT_MOST = 16 * 1024 * 1024
+
 _DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,9})?)([mu])")
 
 RawHeaders = Iterable[tuple[bytes, bytes]]
@@ -228,6 +233,51 @@
     return float(weight) if usable else 1.0
 
 
+class Objects:
+    """JSON objects out of a stream of bytes, however these are cut into pieces or the objects into lines."""
+
+    __slots__ = ("at", "begun", "depth", "held")
+
+    def __init__(self) -> None:
+        # What has come of the object not yet whole, how far that was looked through, how many braces are open
+        # there, and whether it has begun: blanks between two objects are no sign of one.
+        self.held = b""
+        self.at = self.depth = 0
+        self.begun = False
+
+    def feed(self, piece: bytes) -> list[bytes]:
+        """The objects that are whole with this piece; ValueError for what can't begin one, or is too long."""
+        self.held += piece
+        whole = []
+        while self._began() and (end := self._end()) > 0:
+            whole.append(self.held[:end])
+            self.held, self.at, self.begun = self.held[end:], 0, False
+        if len(self.held) > OBJECT_MOST:
+            raise ValueError(f"an object of more than {OBJECT_MOST} bytes")
+        return whole
+
+    def _began(self) -> bool:
+        if not self.begun:
+            self.held = self.held.lstrip()
+            self.begun = bool(self.held)
+            if self.begun and self.held[:1] != b"{":
+                raise ValueError(f"no object begins with {self.held[:40]!r}")
+        return self.begun
+
+    def _end(self) -> int:
+        """Where the object ends that has begun; 0: not yet. Goes on from where the last look ended."""
+        for found in _FRAME.finditer(self.held, self.at):
+            sign = found[0]
+            if sign == b'"':
+                self.at = found.start()
+                return 0
+            self.at = found.end()
+            self.depth += (sign == b"{") - (sign == b"}")
+            if not self.depth:
+                return self.at
+        return 0
+
+
 def read_list(values: Any, offset_us: int) -> ServerList:
     """Discovery's list. `offset_us` turns Unix time into the node's clock; 0 stays 0, for long ago."""
     if isinstance(values, str | bytes):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -224,3 +224,40 @@
     async with asyncio.timeout(seconds):
         while not true():
             await asyncio.sleep(0.005)
+
+
+class Point:
+    """A named point at which a stand-in stops until the test lets it go: a crossing forced, not hoped for."""
+
+    def __init__(self) -> None:
+        self.reached = asyncio.Event()
+        self.go = asyncio.Event()
+
+    async def stop(self) -> None:
+        self.reached.set()
+        await self.go.wait()
+
+
+def chunked(*pieces: bytes) -> bytes:
+    """Pieces of a chunked answer, each a chunk of its own; its end is none of them."""
+    return b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def watch(*pieces: bytes, then: Callable[[], Awaitable[Any]] | None = None) -> Played:
+    """A watch that says these pieces and no more; then whatever a test wants, or nothing until it is left."""
+
+    async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(CHUNKED_HEAD)
+        for piece in pieces:
+            writer.write(chunked(piece))
+            await writer.drain()
+        if then is not None:
+            await then()
+        else:
+            await reader.read()
+        writer.close()
+
+    return play
