A request whose client left while it waited is not sent on, whatever it waited for

Ruled out by tests that pass with and without: waits for a token, a place and another try, which the module ends.

Now a trip not begun is cancelled with its inquiry, and right before its first byte the system is asked whether the client still stands (net/unread.py): the loop has not seen every close by then.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -30,6 +30,7 @@
 from coraldeal.net.figures import Figures
 from coraldeal.net.listening import listening_socket
 from coraldeal.net.servers import Rest, Spoilt
+from coraldeal.net.unread import has_left
 from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
 
 log = logging.getLogger(__name__)
@@ -136,7 +137,7 @@
     def __init__(
         self,
         tracks: dict[str, int],
-        live: Callable[[Call, int, int], Awaitable[Answer]],
+        live: Callable[[Call, int, int, Callable[[], bool]], Awaitable[Answer]],
         is_ready: Callable[[], bool],
         is_crowded: Callable[[], bool],
         make_room: Callable[[], None],
@@ -276,7 +277,8 @@
             self.figures.ended(call.track, 503)
             return self._response(Answer(503), close=True)
         patience = self.tracks[call.track] if call.left_us is None else call.left_us
-        answer = await self.live(call, patience, 0 if call.rest else _unread_us(request))
+        unread_us = 0 if call.rest else _unread_us(request)
+        answer = await self.live(call, patience, unread_us, lambda: not has_left(request.transport))
         if answer.rest is not None:
             return await self._pass_on(request, call, answer, answer.rest)
         self.figures.ended(call.track, answer.status)
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Callable
 from typing import NamedTuple
 
 from coraldeal.balance import Balancer
@@ -25,16 +26,38 @@
 class Inquiry:
     """What is kept of one inquiry while it lasts."""
 
-    __slots__ = ("choice", "name", "request_id", "timer", "trip", "trip_number", "withdrawn")
+    __slots__ = (
+        "begun",
+        "choice",
+        "is_here",
+        "left",
+        "name",
+        "request_id",
+        "timer",
+        "trip",
+        "trip_number",
+        "withdrawn",
+    )
 
-    def __init__(self, name: InquiryId, request_id: str, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        name: InquiryId,
+        request_id: str,
+        is_here: Callable[[], bool],
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
         self.name = name
         self.request_id = request_id
+        # Whether its client still waits, as the system knows it, and whether it was seen to have left.
+        self.is_here = is_here
+        self.left = False
         self.choice: asyncio.Future[Send | Answer] = loop.create_future()
         self.trip_number = 0
         # The trip under way, and whether it is to be stopped.
         self.trip: asyncio.Task[TripEnd] | None = None
         self.withdrawn = False
+        # Whether something of that trip may have been written.
+        self.begun = False
         # What ends it unanswered otherwise; None before it began.
         self.timer: asyncio.Timeout | None = None
 
@@ -50,6 +73,16 @@
         elif trip == self.trip_number:
             self.trip.get_loop().call_soon(self.trip.cancel)
 
+    def begin(self) -> bool:
+        """Whether the trip may write its first byte; if so it has begun.
+
+        What waited for a connection while its client left must not be sent on: nobody wants it any more. The
+        loop has not seen every departure by then, nor does it look where a body waits unread.
+        """
+        self.left = self.left or not self.is_here()
+        self.begun = not self.left
+        return self.begun
+
 
 class Inquiries:
     """All inquiries in hand."""
@@ -80,7 +113,7 @@
                 with contextlib.suppress(RuntimeError):
                     inquiry.timer.reschedule(at)
 
-    async def live(self, call: Call, left_us: int, unread_us: int) -> Answer:
+    async def live(self, call: Call, left_us: int, unread_us: int, is_here: Callable[[], bool]) -> Answer:
         """One inquiry, from its arrival to its final answer. The task is cancelled when the client leaves.
 
         `unread_us` is how long it lay here before. The module is not told: it takes a try with less time left
@@ -94,7 +127,7 @@
         loop = asyncio.get_running_loop()
         name = self.next_name
         self.next_name += 1
-        inquiry = self.in_hand[name] = Inquiry(name, call.request_id, loop)
+        inquiry = self.in_hand[name] = Inquiry(name, call.request_id, is_here, loop)
         self.open_ids.add(call.request_id)
         try:
             # The module answers before the patience ends. The time-out guards against a day when it does not,
@@ -112,6 +145,7 @@
                     if inquiry.withdrawn:
                         end = TripEnd(Outcome.MOOT, 0)
                     else:
+                        inquiry.begun = False
                         inquiry.trip = loop.create_task(self._trip(inquiry, call, choice, wait_us, timer))
                         # Shielded: a trip outlives its inquiry where the deployment allows no withdrawals.
                         end = await asyncio.shield(inquiry.trip)
@@ -125,6 +159,10 @@
                         if call.rest.begun:
                             # No further trip can carry all of it.
                             balancer.body_spent(name)
+                    if inquiry.left:
+                        # Found out as its trip was to begin; nobody hears this.
+                        self._trip_ended(inquiry, end, over=True)
+                        return failure(499)
                     self._trip_ended(inquiry, end, over=end.outcome is Outcome.SATISFIED)
                     if end.outcome is Outcome.SATISFIED and end.answer is not None:
                         return end.answer
@@ -151,7 +189,9 @@
         message = call.written(min(choice.timeout_us, wait_us))
         if call.rest is None:
             careful = call.track in self.irreversible
-            return await self.servers.trip(choice.server, message, choice.timeout_us, careful=careful)
+            return await self.servers.trip(
+                choice.server, message, choice.timeout_us, careful=careful, may_begin=inquiry.begin
+            )
         balancer = self.balancer
         assert balancer is not None
         balancer.body_coming(inquiry.name)
@@ -175,6 +215,7 @@
                 call=call,
                 on_body_sent=sent,
                 careful=call.track in self.irreversible,
+                may_begin=inquiry.begin,
             )
         finally:
             if timer.when() is None:
@@ -190,9 +231,13 @@
     def _left(self, inquiry: Inquiry) -> None:
         """The client is gone: tell the module, and the end of a trip that is still out when it comes."""
         assert self.balancer is not None
+        inquiry.left = True
         self.balancer.client_left(inquiry.name)
         choice = inquiry.choice
         if inquiry.trip is not None:
+            if not inquiry.begun:
+                # What was never written needs no withdrawal, and is stopped also where none are allowed.
+                inquiry.trip.cancel()
             inquiry.trip.add_done_callback(lambda trip: self._late_end(inquiry, trip))
         elif choice.done() and not choice.cancelled() and isinstance(choice.result(), Send):
             # Chosen but never begun.
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -347,11 +347,13 @@
         call: Call | None = None,
         on_body_sent: Callable[[], None] | None = None,
         careful: bool = False,
+        may_begin: Callable[[], bool] = lambda: True,
     ) -> TripEnd:
         """One trip, from its connection to its end; cancelling it is stopping it.
 
         `call`: one whose body is still to come; its time counts from that body's last byte. `careful`: it may
-        not run twice, so no connection that its server may be closing will do.
+        not run twice, so no connection that its server may be closing will do. `may_begin` is asked right
+        before the first byte, when nothing stands in its way but whether it is still wanted.
         """
         started = self.clock()
         target = self.targets.get(server)
@@ -376,6 +378,8 @@
                 if not self.may_send(server):
                     # It drains or was left out between the choice and the first byte.
                     return TripEnd(Outcome.MOOT, self.clock() - started)
+                if not may_begin():
+                    return TripEnd(Outcome.MOOT, self.clock() - started)
                 if not self._write(connection, message):
                     raise ConnectionError("closed before the first byte")
                 handed_over = call is None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
@@ -150,8 +152,14 @@
         except ConnectionError:
             return b""
 
-    def leave(self) -> None:
-        self.writer.close()
+    def leave(self, reset: bool = False) -> None:
+        if reset:
+            # At once, whatever was not sent or not read.
+            near = self.writer.get_extra_info("socket")
+            near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
 
 
 def entry(name: str, address: str, lifecycle: str = "Ready") -> dict[str, Any]:
@@ -261,3 +269,26 @@
         writer.close()
 
     return play
+
+
+class LateConnects:
+    """While it lasts, the node's connections to these servers come up only when the test lets them."""
+
+    def __init__(self, *servers: StandIn) -> None:
+        self.ports = {int(server.address.rpartition(":")[2]): None for server in servers}
+        self.point = Point()
+
+    def __enter__(self) -> Point:
+        loop = asyncio.get_running_loop()
+        self.real = loop.create_connection
+        self.patch = mock.patch.object(loop, "create_connection", self._connect)
+        self.patch.start()
+        return self.point
+
+    def __exit__(self, *_: object) -> None:
+        self.patch.stop()
+
+    async def _connect(self, protocol: Any, host: Any = None, port: Any = None, **told: Any) -> Any:
+        if port in self.ports:
+            await self.point.stop()
+        return await self.real(protocol, host, port, **told)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,13 +13,18 @@
 from coraldeal.net.wire import Objects
 from tests.standins import (
     SETTINGS,
+    Caller,
+    LateConnects,
     Played,
+    Point,
     RunningNode,
     Seen,
     StandIn,
+    answer,
     chunked,
     config,
     entry,
+    hang_up,
     never_answer,
     serve_well,
     server_list,
@@ -141,3 +146,145 @@
             await until(lambda: len(discovery.seen) >= 2)
         self.assertIn("1000 bytes", str(logs.records[0].__dict__["pairs"]))
         self.assertNotIn("after=", discovery.seen[1].line)
+
+
+class Departures(EndingCase):
+    """A client that leaves while its request waits: it is not sent on, whatever it waited for.
+
+    Each with withdrawals allowed and not: what was never written needs none.
+    """
+
+    async def gone(self, running: RunningNode, caller: Caller) -> None:
+        """It leaves, and the node has seen that; what is let go of from here on comes later."""
+        held = running.node.callers.held
+        caller.leave()
+        await until(lambda: running.node.callers.held < held)
+        await asyncio.sleep(0.01)
+
+    async def at_rest(self, running: RunningNode) -> None:
+        """Nothing is left of it, in the module's books nor in the node's."""
+        node = running.node
+        await until(lambda: not (node.inquiries.in_hand or node.inquiries.open_ids))
+        self.assertEqual((node.balancer.inquiries, node.balancer.trips), ({}, {}))
+        self.assertEqual([server.trips for server in node.balancer.servers.values()], [{}])
+        self.assertEqual((node.servers.connecting, node.callers.kept), (0, 0))
+
+    async def test_while_it_waits_for_a_connection(self) -> None:
+        for cancel in (True, False):
+            for track in ("read", "write"):
+                with self.subTest(cancel=cancel, track=track):
+                    server = await self.stand_in()
+                    running = await self.node(server, bounds={"cancel": cancel, "connect_timeout_ns": 10**9})
+                    caller = await running.caller()
+                    with LateConnects(server) as point:
+                        caller.send(track, b"x")
+                        await point.reached.wait()
+                        await self.gone(running, caller)
+                        point.go.set()
+                        await self.at_rest(running)
+                    # Whoever comes next is served; the one that left was never sent.
+                    self.assertEqual((await (await running.caller()).ask("low"))[0], 200)
+                    self.assertEqual([seen.line.split()[1] for seen in server.seen], ["/low/x?y=%20z"])
+
+    async def test_while_it_waits_for_a_place(self) -> None:
+        for cancel in (True, False):
+            with self.subTest(cancel=cancel):
+                point = Point()
+
+                async def play(seen: Seen, reader: Any, writer: Any, point: Point = point) -> None:
+                    await point.stop()
+                    writer.write(answer())
+
+                server = await self.stand_in(play)
+                running = await self.node(server, bounds={"cancel": cancel})
+                full = [await running.caller() for _ in range(2)]
+                for caller in full:
+                    caller.send()
+                await until(lambda s=server: len(s.seen) == 2)  # type: ignore[misc]
+                waiting = await running.caller()
+                waiting.send("write", b"x")
+                await until(lambda r=running: len(r.node.inquiries.in_hand) == 3)  # type: ignore[misc]
+                await self.gone(running, waiting)
+                point.go.set()
+                for caller in full:
+                    self.assertEqual((await caller.answer())[0], 200)
+                await self.at_rest(running)
+                self.assertEqual(len(server.seen), 2)
+
+    async def test_while_it_waits_for_a_token(self) -> None:
+        for cancel in (True, False):
+            with self.subTest(cancel=cancel):
+                server = await self.stand_in()
+                # Tokens are waited for for up to two ticks.
+                running = await self.node(server, bounds={"cancel": cancel}, tick_ns=10**8)
+                balancer = running.node.balancer
+                balancer.tokens, balancer.rate = 0.0, 1 / 150_000
+                caller = await running.caller()
+                caller.send("low")
+                await until(lambda b=balancer: b.tokens < 0)  # type: ignore[misc]
+                await self.gone(running, caller)
+                await asyncio.sleep(0.2)
+                await self.at_rest(running)
+                self.assertEqual(server.seen, [])
+
+    async def test_while_it_waits_for_another_try(self) -> None:
+        for cancel in (True, False):
+            with self.subTest(cancel=cancel):
+                server = await self.stand_in(hang_up)
+                running = await self.node(server, bounds={"cancel": cancel, "max_trips": 9})
+                (known,) = running.node.balancer.servers.values()
+                caller = await running.caller()
+                caller.send()
+                # One further try is what the server has earned.
+                await until(lambda s=server, k=known: len(s.seen) == 2 and not k.trips)  # type: ignore[misc]
+                await self.gone(running, caller)
+                server.play = serve_well
+                known.credit = 4.0
+                for _ in range(3):
+                    self.assertEqual((await (await running.caller()).ask())[0], 200)
+                await self.at_rest(running)
+                self.assertEqual(len(server.seen), 5)
+
+    @mock.patch("coraldeal.net.callers.KEPT_MOST", 1000)
+    async def test_unseen_behind_a_body_that_waits_too(self) -> None:
+        """Nothing is read from it then, so the loop tells of no departure: neither a close nor a reset."""
+        for cancel in (True, False):
+            for size, reset in ((900_000, False), (4_000_000, True)):
+                with self.subTest(cancel=cancel, reset=reset):
+                    point = Point()
+                    came: list[bytes] = []
+
+                    async def talk(
+                        reader: asyncio.StreamReader, writer: Any, point: Point = point, came: Any = came
+                    ) -> None:
+                        while data := await reader.read(1 << 16):
+                            came.append(data)
+                            if len(came) <= 2:
+                                await point.stop()
+                                writer.write(answer())
+                        writer.close()
+
+                    listener = await asyncio.start_server(talk, "127.0.0.1", 0)
+                    self.addCleanup(listener.close)
+                    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+                    told = config(server_list(1, True, entry("s0", address)), bounds={"cancel": cancel})
+                    running = await self.enterAsyncContext(RunningNode(told))
+                    full = [await running.caller() for _ in range(2)]
+                    for caller in full:
+                        caller.send()
+                    await until(lambda c=came: len(c) == 2)  # type: ignore[misc]
+                    waiting = await running.caller()
+                    waiting.send("write", bytes(size))
+                    if not reset:
+                        # All of it is in the system's hands, and its close right behind.
+                        await until(lambda w=waiting: not w.writer.transport.get_write_buffer_size())  # type: ignore[misc]
+                    near = running.node.callers.server.connections
+                    await until(lambda n=near: any(one._reading_paused for one in n))  # type: ignore[misc]
+                    waiting.leave(reset)
+                    await asyncio.sleep(0.02)
+                    self.assertEqual(len(running.node.inquiries.in_hand), 3)
+                    point.go.set()
+                    for caller in full:
+                        self.assertEqual((await caller.answer())[0], 200)
+                    await self.at_rest(running)
+                    self.assertEqual(len(came), 2)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -226,7 +226,7 @@
             caller.send("read", b"", "800m")
             time.sleep(0.2)  # the node's loop stands still, the request is there
             await caller.answer()
-        _, left_us, unread_us = lived.call_args.args
+        _, left_us, unread_us, _ = lived.call_args.args
         self.assertEqual(left_us, 800_000)
         self.assertGreater(unread_us, 180_000)
         call = lived.call_args.args[0]
@@ -235,7 +235,7 @@
             self.assertLogs("coraldeal.net.inquiry", "WARNING"),
         ):
             before = clock()
-            self.assertEqual((await live(call, 400_000, 350_000)).status, 504)
+            self.assertEqual((await live(call, 400_000, 350_000, lambda: True)).status, 504)
         self.assertLess(clock() - before, 300_000)
 
     async def test_nothing_comes_back_inside_the_modules_own_call(self) -> None:
