A trip stopped at the instant it ends leaves no connection open

Seen on reading, shown by a test that stops the trip as its answer is read: with a body passed on, the trip awaited its reader in its finally; a stop there skipped the release, and connection and descriptor stayed open for good. Nothing is awaited there now (servers.py, trip).

--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -410,7 +410,8 @@
         finally:
             if reading is not None:
                 reading.cancel()
-                await asyncio.gather(reading, return_exceptions=True)
+            # Nothing is awaited here: a trip stopped at this very instant would leave its connection open.
+                reading.add_done_callback(_seen)
             if connection is not None and (rest is None or answer is None or answer.rest is None):
                 self.release(connection, answered=answer is not None and (handed_over or is_probe))
         return TripEnd(outcome, self.clock() - started, report, answer)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -384,3 +384,27 @@
                     # Never sent, so even what must not run twice goes to another.
                     self.assertEqual((await caller.answer())[0], 200)
                 self.assertEqual((len(old.seen), len(other.seen)), (0, 1))
+
+    async def test_a_trip_stopped_as_it_ends_leaves_no_connection(self) -> None:
+        async def early(seen: Seen, reader: Any, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(500))
+            await reader.read()
+
+        server = await self.stand_in(early)
+        self.learn(server)
+        body = Body(Pieces(b"01", ends=False), 0, Progress())  # type: ignore[arg-type]
+        call = Call("1", "read", None, None, False, GET[:-2], b"", rest=body, length=10)
+
+        def stop(*told: Any) -> Any:
+            trip.cancel()
+            return read(*told)
+
+        read = wire.read_answer
+        with mock.patch.object(servers_module, "read_answer", stop):
+            trip = asyncio.create_task(
+                self.servers.trip("s", GET, 5_000_000, call=call, on_body_sent=lambda: None)
+            )
+            (end,) = await asyncio.gather(trip, return_exceptions=True)
+        self.assertIsInstance(end, asyncio.CancelledError)
+        await until(lambda: server.closed == 1)
+        self.assertEqual((self.servers.open, self.servers.connecting), (0, 0))
