A reset behind a body's last byte counts as one that may have run

Seen on reading, shown by a test that holds back the drain behind the last byte: where the server resets before the task that passes the body on has come round, the trip ended as CONNECT_FAILED, never ran, and the caller was deferred as if a repeat did no harm. The body itself now tells that its last byte was handed over (bodies.py, servers.py).

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -64,7 +64,7 @@
 class Body:
     """What is still to come of a caller's body, behind the part that was kept."""
 
-    __slots__ = ("begun", "content", "fault", "progress", "read_in_all")
+    __slots__ = ("begun", "content", "fault", "passed", "progress", "read_in_all")
 
     def __init__(self, content: StreamReader, kept: int, progress: Progress) -> None:
         self.content = content
@@ -72,6 +72,8 @@
         self.read_in_all = kept
         # Whether some of it was passed on: then no further trip can carry the whole.
         self.begun = False
+        # Whether its last byte was handed to a server's connection.
+        self.passed = False
         # Why it ended early, where that is the caller's doing.
         self.fault: BadCall | None = None
 
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -401,8 +401,10 @@
             # Stopped, or its caller's body ended early.
             outcome = Outcome.WITHDRAWN
         except (OSError, aiohttp.ClientError):
-            # Proved not run only if the last byte was never written.
-            if handed_over and not _bytes_left(connection):
+            # Proved not run only if the last byte was never written; of a body it may be out though who
+            # passes it on has not come round to saying so.
+            is_whole = handed_over or (call is not None and call.rest is not None and call.rest.passed)
+            if is_whole and not _bytes_left(connection):
                 outcome = Outcome.RESET
                 if connection is not None and connection.rested and not connection.head_seen:
                     # Most likely it crossed the server's close.
@@ -488,6 +490,7 @@
                 if transport is None or transport.is_closing():
                     raise ConnectionError("closed within the body")
                 transport.write(call.framed(piece))
+            rest.passed = rest.read_in_all == call.length or not piece
             if not piece:
                 await progress.within(connection._drain_helper(), size)
                 return
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -408,3 +408,39 @@
         self.assertIsInstance(end, asyncio.CancelledError)
         await until(lambda: server.closed == 1)
         self.assertEqual((self.servers.open, self.servers.connecting), (0, 0))
+
+    async def test_a_reset_behind_a_bodys_last_byte_may_have_run(self) -> None:
+        """Also where who passes the body on has not been told yet that the last byte is out."""
+        drained = Point()
+
+        async def break_off(seen: Seen, reader: Any, writer: asyncio.StreamWriter) -> None:
+            await drained.reached.wait()
+            writer.transport.abort()
+
+        server = await self.stand_in(break_off)
+        self.learn(server)
+        body = Body(Pieces(b"0123456789"), 0, Progress())  # type: ignore[arg-type]
+        head = b"POST /read/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\n"
+        call = Call("1", "read", None, None, False, head, b"", rest=body, length=10)
+
+        async def drain(connection: Connection) -> None:
+            if body.read_in_all == 10:
+                await drained.stop()
+
+        with mock.patch.object(Connection, "_drain_helper", drain):
+            end = await self.servers.trip("s", head, 5_000_000, call=call, on_body_sent=lambda: None)
+        self.assertEqual([seen.body for seen in server.seen], [b"0123456789"])
+        self.assertIs(end.outcome, Outcome.RESET)
+
+
+
+class Pieces:
+    """A body's content: some pieces, and then its end, or nothing more."""
+
+    def __init__(self, *pieces: bytes, ends: bool = True) -> None:
+        self.pieces = [*pieces, b""] if ends else [*pieces]
+
+    async def readany(self) -> bytes:
+        if not self.pieces:
+            await asyncio.Event().wait()
+        return self.pieces.pop(0)
