A caller that leaves within its body is not held against the server

Seen in the test of departures: where no withdrawals are allowed, the caller's lost connection came out of the body as a ConnectionError and was taken for the server's, so its cap was halved (Body.read).

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -85,6 +85,10 @@
         except BadCall as bad:
             self.fault = bad
             raise
+        except ConnectionError:
+            # Taken for a server's end of the connection, this would be held against that server.
+            self.fault = BadCall(400, "its caller has gone")
+            raise self.fault from None
         self.read_in_all += len(piece)
         if self.read_in_all > BODY_LARGEST:
             self.fault = BadCall(413, f"the body is longer than {BODY_LARGEST} bytes")
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -410,9 +410,9 @@
                     # Most likely it crossed the server's close.
                     self.rest_ended(target, connection.rested, closed=True)
         finally:
+            # Nothing is awaited here: a trip stopped at this very instant would leave its connection open.
             if reading is not None:
                 reading.cancel()
-            # Nothing is awaited here: a trip stopped at this very instant would leave its connection open.
                 reading.add_done_callback(_seen)
             if connection is not None and (rest is None or answer is None or answer.rest is None):
                 self.release(connection, answered=answer is not None and (handed_over or is_probe))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -432,6 +432,20 @@
         self.assertEqual([seen.body for seen in server.seen], [b"0123456789"])
         self.assertIs(end.outcome, Outcome.RESET)
 
+    async def test_a_caller_that_leaves_within_its_body_is_not_held_against_the_server(self) -> None:
+        server = await self.stand_in()
+        running = await self.node(server, bounds={"cancel": False})
+        with mock.patch.object(
+            running.node.balancer, "trip_ended", wraps=running.node.balancer.trip_ended
+        ) as ended:
+            caller = await running.caller()
+            caller.raw(b"POST /read/x HTTP/1.1\r\nHost: n\r\nReq-Id: 1\r\nContent-Length: 5000000\r\n\r\n")
+            caller.raw(bytes(2_000_000))
+            await until(lambda: server.opened == 1)
+            caller.leave()
+            await until(lambda: ended.called)
+        self.assertIs(ended.call_args.args[2], Outcome.WITHDRAWN)
+        self.assertEqual(server.seen, [])
 
 
 class Pieces:
