An answer that begins and never ends is cut when its caller's time is over

Now its caller's time bounds it (bodies.Due), told as broken off. A large one (over 64 KiB, told or come) still goes on while it keeps up the pace of all who are slow, for cutting off what a server still gives loses the request.

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
 from aiohttp.streams import StreamReader
 
-from coraldeal.net.wire import BadCall
+from coraldeal.net.wire import BODY_MOST, BadCall
 
 # Whoever sends or takes may be silent for so many seconds, and must keep up so many bytes a second on top.
 GRACE = 2.0
@@ -54,6 +54,46 @@
         return result
 
 
+class Due:
+    """Until when an answer that is passed on as it comes must be whole.
+
+    Its caller's time bounds it, or one that dribbles would never end. A large one that still goes on then may
+    take longer, but has to keep up the pace of all who are slow.
+    """
+
+    __slots__ = ("at", "late", "passed", "told")
+
+    def __init__(self, at: float, told: int | None, passed: int) -> None:
+        # By the loop's clock.
+        self.at = at
+        # Bytes of its body: as many as it says that it has, and as have come.
+        self.told = told or 0
+        self.passed = passed
+        # How it has come on since its caller's time was over; None: that is not over.
+        self.late: Progress | None = None
+
+    async def within(self, read: Callable[[], Awaitable[bytes]]) -> bytes:
+        """The next piece; TimeoutError where it is too late for it."""
+        try:
+            if self.late is None:
+                async with asyncio.timeout_at(self.at):
+                    return self._came(await read())
+        except TimeoutError:
+            if max(self.told, self.passed) <= BODY_MOST:
+                raise TimeoutError("it was not whole in its caller's time") from None
+            self.late = Progress()
+        try:
+            piece = self._came(await self.late.within(read()))
+        except TimeoutError:
+            raise TimeoutError("its server is too slow") from None
+        self.late.done += len(piece)
+        return piece
+
+    def _came(self, piece: bytes) -> bytes:
+        self.passed += len(piece)
+        return piece
+
+
 def read_little(transport: asyncio.BaseTransport) -> None:
     """Have the loop take no more at once from this connection than `AT_ONCE`."""
     # The selector loop's own attribute; another loop's transport may be without it.
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -23,6 +23,7 @@
     KEPT_MOST,
     TAKER_GRACE,
     Body,
+    Due,
     Progress,
     next_piece,
     read_little,
@@ -278,14 +279,18 @@
             return self._response(Answer(503), close=True)
         patience = self.tracks[call.track] if call.left_us is None else call.left_us
         unread_us = 0 if call.rest else _unread_us(request)
+        loop = asyncio.get_running_loop()
+        due = loop.time() + (patience - unread_us) / 1e6
         answer = await self.live(call, patience, unread_us, lambda: not has_left(request.transport))
         if answer.rest is not None:
-            return await self._pass_on(request, call, answer, answer.rest)
+            # Behind a body that was passed on, the time runs from its last byte: that was later.
+            due = due if call.rest is None else loop.time() + patience / 1e6
+            return await self._pass_on(request, call, answer, answer.rest, due)
         self.figures.ended(call.track, answer.status)
         return self._response(answer, close=call.rest is not None and not request.content.is_eof())
 
     async def _pass_on(
-        self, request: web.BaseRequest, call: Call, answer: Answer, rest: Rest
+        self, request: web.BaseRequest, call: Call, answer: Answer, rest: Rest, due_at: float
     ) -> web.StreamResponse:
         """An answer as it comes; one that breaks off cuts its connection, so that the caller can tell."""
         response = web.StreamResponse(status=answer.status, headers=CIMultiDict(answer.headers))
@@ -300,16 +305,17 @@
         self.passing += 1
         whole = False
         progress = Progress(TAKER_GRACE)
+        due = Due(due_at, rest.length, len(answer.body))
         try:
             await response.prepare(request)
-            piece = answer.body or await rest.read()
+            piece = answer.body or await due.within(rest.read)
             while piece:
                 await progress.within(response.write(piece), len(piece))
-                piece = await rest.read()
+                piece = await due.within(rest.read)
             await progress.within(response.write_eof())
             whole = True
         except (Spoilt, TimeoutError) as error:
-            # The server broke off, or the caller takes nothing more.
+            # The server broke off or never comes to an end, or the caller takes nothing more.
             log.info("answer broken off", extra={"pairs": {"why": str(error) or "its caller is too slow"}})
             if request.transport is not None:
                 request.transport.abort()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,6 +19,7 @@
 from coraldeal.net.servers import Connection, Servers
 from coraldeal.net.wire import Call, Listed, Objects, TripEnd, read_list
 from tests.standins import (
+    CHUNKED_HEAD,
     SETTINGS,
     Caller,
     LateConnects,
@@ -448,6 +449,65 @@
         self.assertEqual(server.seen, [])
 
 
+class Answers(EndingCase):
+    """An answer that has begun and does not come to its end."""
+
+    async def test_one_that_never_ends_is_cut_when_its_callers_time_is_over(self) -> None:
+        """So that its caller can tell: with no last chunk, and by a reset where only the close ends it."""
+        heads = (CHUNKED_HEAD, b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+        for head in heads:
+            with self.subTest(head):
+
+                async def dribble(seen: Seen, reader: Any, writer: Any, head: bytes = head) -> None:
+                    writer.write(head)
+                    while not writer.is_closing():
+                        writer.write(chunked(b".") if head is CHUNKED_HEAD else b".")
+                        await asyncio.sleep(0.02)
+
+                server = await self.stand_in(dribble)
+                running = await self.node(server)
+                caller = await running.caller()
+                began = clock()
+                with self.assertLogs("coraldeal.net.callers", "INFO") as logs:
+                    caller.send("read", b"", "600m")
+                    came = await caller.at_end()
+                self.assertTrue(came.startswith(b"HTTP/1.1 200"), came)
+                self.assertFalse(came.endswith(b"0\r\n\r\n"))
+                self.assertLess(clock() - began, 1_200_000)
+                self.assertIn("caller's time", str(logs.records[0].__dict__["pairs"]))
+                await until(lambda s=server: s.closed == 1)  # type: ignore[misc]
+                self.assertEqual(running.node.balancer.inquiries, {})
+
+    async def test_a_large_one_goes_on_while_it_keeps_up(self) -> None:
+        for goes_on in (True, False):
+            with self.subTest(goes_on=goes_on):
+                point = Point()
+
+                async def play(seen: Seen, reader: Any, writer: Any, point: Point = point) -> None:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + bytes(1000))
+                    await asyncio.sleep(0.12)
+                    writer.write(bytes(99_000))
+                    await point.stop()
+                    writer.write(bytes(100_000))
+
+                server = await self.stand_in(play)
+                running = await self.node(server)
+                caller = await running.caller()
+                with mock.patch("coraldeal.net.bodies.GRACE", 0.3 if not goes_on else 2.0):
+                    caller.send("read", b"", "400m")
+                    await point.reached.wait()
+                    await asyncio.sleep(0.6)
+                    if goes_on:
+                        point.go.set()
+                        status, seen = await caller.answer()
+                        self.assertEqual((status, len(seen.body)), (200, 200_000))
+                    else:
+                        self.assertLess(len(await caller.at_end()), 110_000)
+                        point.go.set()
+                        await until(lambda s=server: s.closed == 1)  # type: ignore[misc]
+
+
+
 class Pieces:
     """A body's content: some pieces, and then its end, or nothing more."""
 
