An answer cut short by the node's end is a reset where only the close would end it

Shown by a test with a caller of HTTP/1.0: the transport's abort sends no reset, so an answer with neither length nor chunks that the node's own end cut looked whole. SO_LINGER is set until it is whole, for such answers alone: elsewhere a reset would take back what the caller has not read.

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -94,6 +96,13 @@
         return piece
 
 
+def end_by_reset(transport: asyncio.BaseTransport | None, on: bool) -> None:
+    """Whether a close of this connection is a reset, which nobody takes for the end of a whole answer."""
+    near = None if transport is None else transport.get_extra_info("socket")
+    if near is not None and near.fileno() >= 0:
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", on, 0))
+
+
 def read_little(transport: asyncio.BaseTransport) -> None:
     """Have the loop take no more at once from this connection than `AT_ONCE`."""
     # The selector loop's own attribute; another loop's transport may be without it.
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -25,6 +25,7 @@
     Body,
     Due,
     Progress,
+    end_by_reset,
     next_piece,
     read_little,
 )
@@ -299,7 +300,10 @@
         elif request.version >= HttpVersion11:
             response.enable_chunked_encoding()
         else:
+            # Its close alone ends it: until it is whole, whatever else closes it, as the node's own end, is
+            # a reset.
             response.force_close()
+            end_by_reset(request.transport, True)
         if self.closing:
             response.force_close()
         self.passing += 1
@@ -314,17 +318,18 @@
                 piece = await due.within(rest.read)
             await progress.within(response.write_eof())
             whole = True
+            end_by_reset(request.transport, False)
         except (Spoilt, TimeoutError) as error:
             # The server broke off or never comes to an end, or the caller takes nothing more.
             log.info("answer broken off", extra={"pairs": {"why": str(error) or "its caller is too slow"}})
-            if request.transport is not None:
-                request.transport.abort()
         except ConnectionError:
             # The caller has gone: nothing is owed.
             pass
         finally:
             self.passing -= 1
             rest.close()
+            if not whole and request.transport is not None:
+                request.transport.abort()
             self.figures.ended(call.track, answer.status, whole)
         return response
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -506,6 +506,23 @@
                         point.go.set()
                         await until(lambda s=server: s.closed == 1)  # type: ignore[misc]
 
+    async def test_one_cut_by_the_nodes_end_is_seen_to_be_cut(self) -> None:
+        """Also by a caller of HTTP/1.0, for whom a close would be the end of the whole."""
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+        async def play(seen: Seen, reader: Any, writer: Any) -> None:
+            writer.write(head + b"half")
+            await asyncio.sleep(0.12)
+            writer.write(b" of it")
+            await reader.read()
+
+        running = await self.node(await self.stand_in(play))
+        caller = await running.caller()
+        caller.raw(b"GET /read/x HTTP/1.0\r\nHost: n\r\nReq-Id: 1\r\n\r\n")
+        await caller.reader.readuntil(b"half of it")
+        await running.node.callers.close()
+        with self.assertRaises(ConnectionError):
+            await caller.reader.read()
 
 
 class Pieces:
