No caller's connection is closed over a request that lies unread

Seen on reading, shown by a test that sends and closes within one turn of the loop: close_one_idle, the end of the listening, the begin of closing and the quiet timer looked at the parser's waiter only; a close over unread bytes is a reset and the request is lost.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -32,7 +32,7 @@
 from coraldeal.net.figures import Figures
 from coraldeal.net.listening import listening_socket
 from coraldeal.net.servers import Rest, Spoilt
-from coraldeal.net.unread import has_left
+from coraldeal.net.unread import has_left, has_unread
 from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
 
 log = logging.getLogger(__name__)
@@ -42,6 +42,8 @@
 # for long. Bodies go by the rule of progress.
 QUIET_LONG = 2.5
 HEAD_LONG = 3.0
+# After how many seconds a silence is looked at again at whose end something lay unread.
+UNREAD_AGAIN = 0.1
 # For how many seconds what a caller still sends is read behind an early answer.
 LINGER = 5.0
 # Connections taken in one turn of the loop, so that the reserve of descriptors covers a rush, and how many
@@ -68,6 +70,10 @@
         # Bytes of a body that are kept for further trips.
         self.kept = 0
 
+    def is_silent(self) -> bool:
+        """Whether it never brought a request, though it was there for long."""
+        return not self._request_count and self._loop.time() - self.made_at > SILENT_LONG
+
     def data_received(self, data: bytes) -> None:
         """A head that begins late in a silence still has its own time."""
         if data and _is_idle(self) and self.head_of != self._request_count:
@@ -75,6 +81,16 @@
             self._next_keepalive_close_time = self._loop.time() + HEAD_LONG
         super().data_received(data)
 
+    def _process_keepalive(self) -> None:
+        """The end of a silence; what has come and was not read yet is none.
+
+        Guards against a loop that is late: closing over a request resets it unanswered. A head that has begun
+        had its time.
+        """
+        if self.head_of != self._request_count and has_unread(self.transport):
+            self._next_keepalive_close_time = self._loop.time() + UNREAD_AGAIN
+        super()._process_keepalive()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -201,7 +217,7 @@
             self.listener = None
 
     def stop_listening(self) -> None:
-        """No new connections; those that never brought a request are closed."""
+        """No new connections; those that have brought no request for long are closed."""
         self.accept(False)
         if self.listening is not None:
             self.listening.close()
@@ -215,7 +231,8 @@
 
     def _close_idle(self, asked_too: bool) -> None:
         for connection in self.server.connections:
-            if _is_idle(connection) and (asked_too or not connection._request_count):
+            assert isinstance(connection, _Connection)
+            if _may_close(connection) and (asked_too or connection.is_silent()):
                 connection.force_close()
 
     async def close(self) -> None:
@@ -231,19 +248,21 @@
         What a new connection brings may be on its way and counts as taken: it is read, refused if need be.
         Only when pressed is the oldest of these given up: no descriptor left for accepting would cost more.
         """
-        now = asyncio.get_running_loop().time()
         newer = used = None
         for connection in self.server._connections:
             assert isinstance(connection, _Connection)
-            if _is_idle(connection):
-                if connection._request_count:
-                    used = used or connection
-                elif now - connection.made_at > SILENT_LONG:
-                    # Before those of usual callers, who ask as soon as they have connected.
-                    connection.force_close()
-                    return True
-                else:
-                    newer = newer or connection
+            silent = connection.is_silent()
+            known = used if connection._request_count else newer
+            if (known is not None and not silent) or not _may_close(connection):
+                continue
+            if silent:
+                # Before those of usual callers, who ask as soon as they have connected.
+                connection.force_close()
+                return True
+            if connection._request_count:
+                used = connection
+            else:
+                newer = connection
         chosen = used or (newer if pressed else None)
         if chosen is not None:
             chosen.force_close()
@@ -399,3 +418,11 @@
     and closing it then would lose the request.
     """
     return connection._waiter is not None and not connection._waiter.done()
+
+
+def _may_close(connection: RequestHandler) -> bool:
+    """Whether nothing is owed on it: it is idle, and nothing lies there that the loop has not read yet.
+
+    A close over unread bytes is a reset, and their request is lost unanswered.
+    """
+    return _is_idle(connection) and not has_unread(connection.transport)
--- a/coraldeal/net/unread.py
+++ b/coraldeal/net/unread.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+from typing import Any
 
 
 def has_unread(transport: asyncio.BaseTransport | None) -> bool:
@@ -20,11 +21,19 @@
     return transport is None or transport.is_closing() or bool(_told(transport, select.POLLRDHUP))
 
 
+def is_readable(near: Any) -> bool:
+    """Whether something waits at a socket: bytes or an end, at a listening one a connection not yet taken."""
+    return bool(_polled(near, select.POLLIN))
+
+
 def _told(transport: asyncio.BaseTransport | None, events: int) -> int:
-    near = None if transport is None else transport.get_extra_info("socket")
+    return 0 if transport is None else _polled(transport.get_extra_info("socket"), events)
+
+
+def _polled(near: Any, events: int) -> int:
+    """What the system tells of a socket right now; errors and resets are told unasked."""
     if near is None or near.fileno() < 0:
         return 0
     poller = select.poll()
-    # Errors and resets are told unasked.
     poller.register(near.fileno(), events)
     return next((told for _, told in poller.poll(0)), 0)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+import socket
 import unittest
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
 from coraldeal.interface import Condition, Entry, Outcome
+from coraldeal.net import callers as callers_module
 from coraldeal.net import discovery as discovery_module
 from coraldeal.net import servers as servers_module
 from coraldeal.net import wire
@@ -525,6 +527,50 @@
             await caller.reader.read()
 
 
+class Closings(EndingCase):
+    """A caller's connection that the node closes while a request lies there that it has not read."""
+
+    async def test_a_request_that_lies_unread_is_answered_whatever_closes_idle_connections(self) -> None:
+        server = await self.stand_in()
+        for fresh in (True, False):
+            for way in ("end", "stop", "room", "quiet"):
+                with self.subTest(way=way, fresh=fresh):
+                    running = await self.node(server)
+                    node, caller = running.node, await running.caller()
+                    await until(lambda n=node: n.callers.held == 1)  # type: ignore[misc]
+                    (connection,) = node.callers.server.connections
+                    assert isinstance(connection, callers_module._Connection)
+                    if not fresh:
+                        self.assertEqual((await caller.ask())[0], 200)
+                        await until(lambda c=connection: c._waiter is not None)  # type: ignore[misc]
+                    # In the system's hands with this line, and the loop has no turn until all is done.
+                    caller.send()
+                    with mock.patch.object(callers_module, "SILENT_LONG", 0.0):
+                        if way == "end":
+                            node.callers.begin_closing()
+                        elif way == "stop":
+                            node.callers._close_idle(asked_too=False)
+                        elif way == "room":
+                            self.assertFalse(node.callers.close_one_idle(pressed=True))
+                        else:
+                            connection._next_keepalive_close_time = 0.0
+                            connection._process_keepalive()
+                    self.assertEqual((await caller.answer())[0], 200)
+
+    async def test_what_is_idle_and_brought_nothing_is_closed_as_before(self) -> None:
+        running = await self.node(await self.stand_in())
+        caller, silent = await running.caller(), await running.caller()
+        self.assertEqual((await caller.ask())[0], 200)
+        await until(lambda: running.node.callers.held == 2)
+        with mock.patch.object(callers_module, "SILENT_LONG", 0.0):
+            running.node.callers._close_idle(asked_too=False)
+        self.assertEqual(await silent.at_end(), b"")
+        self.assertEqual((await caller.ask())[0], 200)
+        running.node.callers.begin_closing()
+        self.assertEqual(await caller.at_end(), b"")
+
+
+
 class Pieces:
     """A body's content: some pieces, and then its end, or nothing more."""
 
