Connections accepted or queued when the listening ends are taken, not dropped

Shown by a test with 50 connections in the system's queue: closing the listening socket resets them. With the queue emptied first the test still failed, by an assertion in asyncio: what a listener accepted in one turn becomes a connection in the next, and a listener closed by then drops it. That cost connections at each restart and at each handover. The reader is taken off first now, and the listener closed a turn later.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -32,7 +32,7 @@
 from coraldeal.net.figures import Figures
 from coraldeal.net.listening import listening_socket
 from coraldeal.net.servers import Rest, Spoilt
-from coraldeal.net.unread import has_left, has_unread
+from coraldeal.net.unread import has_left, has_unread, is_readable
 from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
 
 log = logging.getLogger(__name__)
@@ -52,6 +52,8 @@
 BACKLOG = 1024
 # After how many seconds a connection that never brought a request may be given up where room is short.
 SILENT_LONG = 0.5
+# For how many seconds at most connections in the system's queue are still taken when the listening ends.
+QUEUE_LONG = 0.25
 # How often requests turned away unread are told of, in seconds: a flood of them must not become one of lines.
 TELL_EVERY = 10.0
 # What may stand once in a head: readers that pick another copy would see another request.
@@ -213,11 +215,22 @@
         if on:
             self.accepting = asyncio.get_running_loop().create_task(self._accept())
         elif self.listener is not None:
-            self.listener.close()
-            self.listener = None
+            loop, listener, self.listener = asyncio.get_running_loop(), self.listener, None
+            for near in listener.sockets:
+                loop.remove_reader(near)
+            # What was accepted in this turn becomes a connection in the next: a listener closed by then would
+            # drop it.
+            loop.call_soon(listener.close)
 
-    def stop_listening(self) -> None:
-        """No new connections; those that have brought no request for long are closed."""
+    async def stop_listening(self) -> None:
+        """No new connections; those that have brought no request for long are closed.
+
+        Those that the system has already taken into its queue are taken first: closing would reset them.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + QUEUE_LONG
+        while self.listener is not None and is_readable(self.listening) and loop.time() < until:
+            await asyncio.sleep(0)
         self.accept(False)
         if self.listening is not None:
             self.listening.close()
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -225,7 +225,7 @@
             self.callers.closing = True
         else:
             await asyncio.sleep(STILL_ACCEPTING)
-            self.callers.stop_listening()
+            await self.callers.stop_listening()
         await self._while_held(end - expected)
         self.callers.begin_closing()
         await self._while_held(end)
@@ -234,7 +234,7 @@
             self.door.close()
         if self.succession is not None:
             await self.succession.link.close()
-            self.callers.stop_listening()
+            await self.callers.stop_listening()
         await self.discovery.close()
         await self.servers.close()
         self._enter(Phase.ENDED)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -569,6 +569,20 @@
         running.node.callers.begin_closing()
         self.assertEqual(await caller.at_end(), b"")
 
+    async def test_connections_in_the_systems_queue_are_taken_before_the_listening_ends(self) -> None:
+        running = await self.node(await self.stand_in())
+        # More than the loop takes in one turn; it has seen none of them when the listening is to end.
+        waiting = [socket.create_connection(("127.0.0.1", running.port)) for _ in range(50)]
+        for number, near in enumerate(waiting):
+            near.sendall(b"GET /read/x HTTP/1.1\r\nHost: n\r\nReq-Id: %d\r\n\r\n" % number)
+        await running.node.callers.stop_listening()
+        for near in waiting:
+            reader, writer = await asyncio.open_connection(sock=near)
+            self.addCleanup(writer.close)
+            line = await asyncio.wait_for(reader.readline(), 5)
+            self.assertIn(line.split()[1], (b"200", b"503"))
+        with self.assertRaises(ConnectionError):
+            await running.caller()
 
 
 class Pieces:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -161,7 +161,7 @@
                 asyncio.get_running_loop().remove_reader(stand_in)
                 stand_in.close()
                 self.assertIn("s0", running.node.balancer.servers)
-                running.node.callers.stop_listening()
+                await running.node.callers.stop_listening()
 
     def tell(self, stand_in: socket.socket, told: bytes) -> None:
         near = stand_in.accept()[0]
