A reload may leave out what a track has only by its effect or binding

Seen on reading, shown by a test: where all tracks were labelled, a file that makes one redoable was turned down because that track has no window_ns any more (config.lacking). Where one is needed the reading itself misses it, as before.

--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -20,6 +20,10 @@
 EFFECTS = {"retryable": Effect.REDOABLE, "dedup": Effect.LABELLED, "fragile": Effect.IRREVERSIBLE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
+# What a track may lack though all of those before it had it: with another effect it has neither window nor
+# group, and it may be bound to nothing. Where one is needed the reading itself misses it.
+MAY_LACK = ("window_ns", "group", "allowed_in", "shapes_open")
+
 # What a node takes for settings that its configuration leaves out: one node alone in front of one tier, which
 # may do little. On the bench's wire nothing may be left out.
 TRACK_DEFAULTS: dict[str, Any] = {"effect": "fragile", "payoff": 1.0, "late_payoff": 0.0}
@@ -233,7 +237,8 @@
 def lacking(given: Any, before: Any, path: str = "") -> str:
     """The path of the first key that a configuration lacks and the one before it had; empty: it has all.
 
-    What one kind of track alone must have, others may lack: in a list only what all items had is wanted.
+    What one kind of track alone must have, others may lack: in a list only what all items had is wanted, and
+    of that nothing that depends on a track's effect or may be left out at any time.
     """
     if isinstance(before, dict) and isinstance(given, dict):
         for key, value in before.items():
@@ -244,7 +249,8 @@
                 return found
     elif isinstance(before, list) and isinstance(given, list):
         items = [item for item in before if isinstance(item, dict)]
-        wanted = {key: None for key in (items[0] if items else {}) if all(key in item for item in items)}
+        named = [key for key in (items[0] if items else {}) if key not in MAY_LACK]
+        wanted = {key: None for key in named if all(key in item for item in items)}
         for place, item in enumerate(given):
             if found := lacking(item, wanted, f"{path}[{place}]"):
                 return found
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -221,5 +221,13 @@
         self.assertEqual(lacking({"a": {"b": 2}, "c": [{"d": 3}]}, before), "")
         self.assertEqual(lacking({"a": {}, "c": []}, before), "a.b")
         self.assertEqual(lacking({"a": {"b": 2}, "c": [{"d": 1}, {"e": 1}]}, before), "c[1].d")
+        # All tracks were labelled, bound ones, and one is to be redoable anywhere.
+        bound = {"name": "a", "effect": "dedup", "window_ns": 1, "group": "all", "allowed_in": ["z"]}
+        after = {"name": "a", "effect": "retryable"}
+        self.assertEqual(lacking({"tracks": [after]}, {"tracks": [bound]}), "")
+        self.assertEqual(lacking({"tracks": [{"name": "a"}]}, {"tracks": [bound]}), "tracks[0].effect")
+        needed = {**SETTINGS, "tracks": [{**SETTINGS["tracks"][0], "effect": "dedup", "group": "all"}]}
+        with self.assertRaisesRegex(SettingsError, "window_ns"):
+            node_config({"listen": "127.0.0.1:1", "settings": needed}, {})
         with self.assertRaisesRegex(SettingsError, "operator"):
             node_config({"listen": "127.0.0.1:1", "settings": SETTINGS, "operator": "nowhere"}, {})
