SIGHUP and SIGTERM of a process's first moments wait until it can heed them

Seen on reading, shown by a test: until the loop's handlers stood, some 0.3 s, SIGHUP ended the process (exit status -1 for the test, a crash for the platform), and a new configuration reaches nodes that were just restarted. Both signals are blocked as the first thing that serve does. Ruled out by a test: SIGTERM twice, SIGHUP with good and bad files while draining, a body half come at the signal; all is answered and the exit status is 0.

--- a/coraldeal/__main__.py
+++ b/coraldeal/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
@@ -51,6 +52,9 @@
 
 def serve(args: argparse.Namespace) -> int:
     """Run one node until SIGTERM."""
+    # Kept waiting until the node can heed them: SIGHUP is the end of a process by default, SIGTERM one that
+    # does not look like an end in order.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP))
     from coraldeal.net.node import Node
 
     set_up(args.log_level)
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -126,6 +126,8 @@
             loop.add_signal_handler(number, self.ending.set)
         # Guards against the end that SIGHUP is by default.
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        # What came in the first moments was kept waiting (`serve`) and comes now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGHUP))
         if self.config.known is not None:
             known = read_list(self.config.known, self.offset_us)
             self.discovery.version = known.version
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,9 +4,14 @@
 
 import asyncio
 import json
+import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import unittest
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -585,6 +590,92 @@
             await running.caller()
 
 
+class Signals(unittest.IsolatedAsyncioTestCase):
+    """The program itself, told to end or to read its file anew at moments that suit it badly."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = await StandIn(self.play).start()
+        self.addCleanup(self.server.stop)
+        self.point = Point()
+        self.path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "config.json"
+        free = await StandIn().start()
+        self.port = int(free.address.rpartition(":")[2])
+        free.stop()
+        await free.server.wait_closed()
+        known = server_list(1, True, entry("s0", self.server.address))
+        self.told = {"listen": f"127.0.0.1:{self.port}", "known": known, "seed": "1", "settings": SETTINGS}
+        self.path.write_text(json.dumps(self.told))
+
+    async def play(self, seen: Seen, reader: Any, writer: asyncio.StreamWriter) -> None:
+        await self.point.stop()
+        writer.write(answer())
+
+    def start(self, source: str) -> subprocess.Popen[bytes]:
+        """The program as a process that runs this source with `main` at hand."""
+        preamble = "import os, signal, sys; from coraldeal.__main__ import main\n"
+        command = [sys.executable, "-c", preamble + source, "serve", "--config", str(self.path)]
+        process = subprocess.Popen(command, cwd=Path(__file__).parent.parent, stderr=subprocess.PIPE)
+        self.addCleanup(process.communicate)
+        self.addCleanup(process.kill)
+        return process
+
+    async def caller(self) -> Caller:
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    caller = await Caller(self.port).open()
+                    break
+                except ConnectionError:
+                    await asyncio.sleep(0.02)
+        self.addCleanup(caller.leave)
+        return caller
+
+    async def ended(self, process: subprocess.Popen[bytes]) -> tuple[int, str]:
+        _, errors = await asyncio.to_thread(process.communicate, timeout=10)
+        return process.returncode, errors.decode()
+
+    async def test_in_the_first_moments_they_wait_until_they_can_be_heeded(self) -> None:
+        # Both come at the first line of `serve`, as early as the test can force it.
+        source = """
+import coraldeal.__main__ as program
+def read(args, env=None, real=program._read):
+    if not hasattr(read, "sent"):
+        read.sent = [os.kill(os.getpid(), number) for number in (signal.SIGHUP, signal.SIGTERM)]
+    return real(args, env or os.environ)
+program._read = read
+sys.exit(main())
+"""
+        status, errors = await self.ended(self.start(source))
+        self.assertEqual(status, 0, errors)
+        self.assertIn("configuration read anew", errors)
+        self.assertIn("phase=ended", errors)
+
+    async def test_told_to_end_twice_and_to_read_anew_meanwhile_with_all_in_hand_answered(self) -> None:
+        process = self.start("sys.exit(main())")
+        caller, sender = await self.caller(), await self.caller()
+        caller.send("write", b"x")
+        await self.point.reached.wait()
+        # A body that comes in part before the first signal and in full behind the last.
+        sender.raw(b"POST /write/x HTTP/1.1\r\nHost: n\r\nReq-Id: body\r\nContent-Length: 4\r\n\r\nab")
+        process.send_signal(signal.SIGTERM)
+        for text in (json.dumps(self.told), "{", json.dumps(self.told)):
+            self.path.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+        process.send_signal(signal.SIGTERM)
+        sender.raw(b"cd")
+        await until(lambda: len(self.server.seen) == 2)
+        self.point.go.set()
+        self.assertEqual((await caller.answer())[0], 200)
+        self.assertEqual((await sender.answer())[0], 200)
+        self.assertEqual(self.server.seen[1].body, b"abcd")
+        status, errors = await self.ended(process)
+        self.assertEqual(status, 0, errors)
+        self.assertEqual(errors.count("configuration read anew"), 2, errors)
+        self.assertEqual(errors.count("configuration kept"), 1, errors)
+        self.assertIn("phase=ended in_hand=0", errors)
+
+
 class Pieces:
     """A body's content: some pieces, and then its end, or nothing more."""
 
