--- a/coraldeal/admin/listener.py
+++ b/coraldeal/admin/listener.py
@@ -6,6 +6,7 @@
 
 from coraldeal.admin.commands import Desk, answer
 from coraldeal.net.listening import listening_socket
+from coraldeal.net.unread import has_unread
 
 # The longest line, in bytes; how many seconds a caller may take for one; how many callers are kept at once.
 LINE_MOST = 1024
@@ -73,8 +74,11 @@
         loop = asyncio.get_running_loop()
         self.callers[caller] = loop.call_later(LINE_WAIT, caller.transport.abort)
         if len(self.callers) > CALLERS_MOST:
-            # Guards the descriptors: those who have said nothing for longest go first.
-            next(iter(self.callers)).transport.abort()
+            # Guards the descriptors: those who have said nothing for longest go first. Whose call has come
+            # and was not read yet is no such caller: it is answered in the loop's next turn.
+            silent = (one for one in self.callers if not has_unread(one.transport))
+            if (oldest := next(silent, None)) is not None:
+                oldest.transport.abort()
 
     def gone(self, caller: _Caller) -> None:
         timer = self.callers.pop(caller, None)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,15 +15,18 @@
 from typing import Any
 from unittest import mock
 
+from coraldeal.admin.listener import Door
 from coraldeal.interface import Condition, Entry, Outcome
 from coraldeal.net import callers as callers_module
 from coraldeal.net import discovery as discovery_module
+from coraldeal.net import node as node_module
 from coraldeal.net import servers as servers_module
 from coraldeal.net import wire
 from coraldeal.net.bodies import Body, Progress
 from coraldeal.net.figures import Figures
 from coraldeal.net.host import clock
 from coraldeal.net.servers import Connection, Servers
+from coraldeal.net.unread import has_left
 from coraldeal.net.wire import Call, Listed, Objects, TripEnd, read_list
 from tests.standins import (
     CHUNKED_HEAD,
@@ -304,6 +307,29 @@
                     await self.at_rest(running)
                     self.assertEqual(len(came), 2)
 
+    async def test_behind_requests_that_wait_their_turn_too(self) -> None:
+        """So many that nothing more is read: what stands in the line of a client that left goes nowhere."""
+        point = Point()
+
+        async def play(seen: Seen, reader: Any, writer: Any) -> None:
+            await point.stop()
+            writer.write(answer())
+
+        server = await self.stand_in(play)
+        running = await self.node(server)
+        caller = await running.caller()
+        for _ in range(400):
+            caller.send()
+        await point.reached.wait()
+        near = running.node.callers.server.connections
+        await until(lambda: any(one.transport is not None and not one.transport.is_reading() for one in near))
+        caller.leave()
+        await asyncio.sleep(0.01)
+        point.go.set()
+        await self.at_rest(running)
+        await until(lambda: running.node.callers.held == 0)
+        self.assertEqual(len(server.seen), 1)
+
 
 GET = b"GET /read/1 HTTP/1.1\r\nHost: s\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -369,6 +395,30 @@
         self.assertIs((await self.trip()).outcome, Outcome.SATISFIED)
         self.assertEqual(len(new.seen), 1)
 
+    async def test_an_earlier_trip_is_off_its_connection_before_the_next_one_goes(self) -> None:
+        """Or the next would be a second copy, where one may never be out beside another."""
+        first: list[asyncio.StreamWriter] = []
+        was_off: list[bool] = []
+
+        async def play(seen: Seen, reader: Any, writer: asyncio.StreamWriter) -> None:
+            if first:
+                was_off.append(has_left(first[0].transport))
+                writer.write(answer())
+                return
+            first.append(writer)
+            # Looked at by the system alone: this loop reads nothing here.
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await point.stop()
+
+        point = Point()
+        running = await self.node(await self.stand_in(play))
+        state = running.node.balancer.tracks["read"]
+        # So a trip is given up after 150 ms, and there is time for another.
+        state.slow, state.median = 50_000, 10_000
+        self.assertEqual((await (await running.caller()).ask())[0], 200)
+        self.assertEqual(was_off, [True])
+        point.go.set()
+
     async def test_a_drain_told_between_choice_and_first_byte(self) -> None:
         for told in ("Terminating", "Gone", "replaced", "left out"):
             with self.subTest(told):
@@ -589,6 +639,21 @@
         with self.assertRaises(ConnectionError):
             await running.caller()
 
+    async def test_no_call_at_the_operators_door_gives_way_unread(self) -> None:
+        door = Door(mock.Mock(can_serve=lambda: True))
+        await door.open("127.0.0.1", 0)
+        self.addCleanup(door.close)
+        assert door.listener is not None
+        port = door.listener.sockets[0].getsockname()[1]
+        # All in the system's queue at once, more than are kept.
+        calls = [socket.create_connection(("127.0.0.1", port)) for _ in range(40)]
+        for near in calls:
+            near.sendall(b"status\n")
+        for near in calls:
+            reader, writer = await asyncio.open_connection(sock=near)
+            self.addCleanup(writer.close)
+            self.assertTrue((await asyncio.wait_for(reader.readline(), 5)).startswith(b"OK"))
+
 
 class Signals(unittest.IsolatedAsyncioTestCase):
     """The program itself, told to end or to read its file anew at moments that suit it badly."""
