A list that can't be read is told once, with what is wrong and where

Seen in a test: each watch that ended alike wrote its line again, several a second where lists are pushed, and none told in which object. The same end once more is told at debug level until a list has come since.

--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -38,6 +38,8 @@
         self.on_list = on_list
         self.on_failure = on_failure
         self.version = -1
+        # Why the last watch ended, as it was told in the log; empty once a list has come since.
+        self.told_why = ""
         self.task: asyncio.Task[None] | None = None
 
     def follow(self) -> None:
@@ -100,16 +102,20 @@
             # A bug on the way to the module must not end the watching for good.
             log.exception("watch failed")
             why = "a bug"
-        log.info("watch over", extra={"pairs": {"why": why, "version": self.version}})
+        # The same end once more says nothing new, and a line for each would hide what does.
+        level = logging.DEBUG if why == self.told_why else logging.INFO
+        self.told_why = why
+        log.log(level, "watch over", extra={"pairs": {"why": why, "version": self.version}})
         return silence.expired()
 
     def _told(self, objects: Objects, piece: bytes) -> int:
         """How many objects are whole with this piece, each of them told."""
-        whole = self._readable(lambda: objects.feed(piece))
+        whole = self._readable(objects.feed, piece)
         for text in whole:
-            told = self._readable(lambda text=text: self.read(text))  # type: ignore[misc]
+            told = self._readable(self.read, text)
             is_back = not told.whole and told.version < self.version
             self.version = -1 if is_back else told.version
+            self.told_why = ""
             self.on_list(told)
             if is_back:
                 # Discovery was set back: these are not the changes since the list held, and the rest of them
@@ -117,10 +123,11 @@
                 raise aiohttp.ClientPayloadError(f"its versions went back to {told.version}")
         return len(whole)
 
-    def _readable(self, read: Callable[[], T]) -> T:
+    def _readable(self, read: Callable[[bytes], T], text: bytes) -> T:
         try:
-            return read()
+            return read(text)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             # The list held stays, and the whole of it is asked for next: changes may have been missed.
             self.version = -1
-            raise aiohttp.ClientPayloadError(f"unreadable, {type(error).__name__}: {error}") from None
+            why = f"unreadable, {type(error).__name__}: {error}, in {text[:60]!r}"
+            raise aiohttp.ClientPayloadError(why) from None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -154,6 +154,20 @@
         # What was told of a drain holds all the same.
         self.assertNotIn("a", node.node.balancer.servers)
 
+    async def test_what_cannot_be_read_is_told_once_with_what_and_where(self) -> None:
+        bad = b'{"generation": 7, "reset": true, "instances": [{"instanceId": "s0"}]}'
+        with (
+            mock.patch.object(node_module, "REWATCH_LEAST", 0.01),
+            self.assertLogs("coraldeal.net.discovery", "INFO") as logs,
+        ):
+            node, discovery = await self.watched(watch(bad), pushed=True)
+            await until(lambda: len(discovery.seen) >= 4)
+        self.assertEqual(len(logs.records), 1)
+        told = str(logs.records[0].__dict__["pairs"])
+        self.assertIn("lifecycle", told)
+        self.assertIn("generation", told)
+        self.assertEqual(list(node.node.balancer.servers), ["s0"])
+
     async def test_an_object_without_end_is_not_kept_for_good(self) -> None:
         line = json.dumps(server_list(2, False)).encode() + b"\n"
         with (
