--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -321,6 +321,41 @@
                     await self.at_rest(running)
                     self.assertEqual(len(came), 2)
 
+    async def test_what_an_inquiry_leaves_out_comes_free_once_also_with_an_answer_passed_on(self) -> None:
+        """A trip that may not be withdrawn outlives its inquiry; its answer comes when nobody is there."""
+        for large in (False, True):
+            with self.subTest(large=large):
+                point = Point()
+
+                async def play(
+                    seen: Seen, reader: Any, writer: Any, point: Point = point, large: bool = large
+                ) -> None:
+                    await point.stop()
+                    body = b"." * (100_000 if large else 10)
+                    writer.write(CHUNKED_HEAD + chunked(body[:10]))
+                    if large:
+                        await asyncio.sleep(0.12)
+                        writer.write(chunked(body))
+                    else:
+                        writer.write(chunked(b""))
+
+                server = await self.stand_in(play)
+                running = await self.node(server, bounds={"cancel": False})
+                caller = await running.caller()
+                with mock.patch.object(running.node.balancer, "trip_ended") as ended:
+                    ended.side_effect = type(running.node.balancer).trip_ended.__get__(running.node.balancer)
+                    caller.send("write", b"x")
+                    await point.reached.wait()
+                    await self.gone(running, caller)
+                    self.assertEqual(len(running.node.inquiries.open_ids), 1)
+                    point.go.set()
+                    await self.at_rest(running)
+                self.assertEqual(ended.call_count, 1)
+                # Kept for the next trip, or closed where not all of the answer was read.
+                kept = 0 if large else 1
+                await until(lambda r=running, kept=kept: r.node.servers.open == kept)  # type: ignore[misc]
+                self.assertEqual(len(running.node.servers.targets["s0"].idle), kept)
+
     async def test_behind_requests_that_wait_their_turn_too(self) -> None:
         """So many that nothing more is read: what stands in the line of a client that left goes nowhere."""
         point = Point()
