--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -52,8 +52,6 @@
 BACKLOG = 1024
 # After how many seconds a connection that never brought a request may be given up where room is short.
 SILENT_LONG = 0.5
-# For how many seconds at most connections in the system's queue are still taken when the listening ends.
-QUEUE_LONG = 0.25
 # How often requests turned away unread are told of, in seconds: a flood of them must not become one of lines.
 TELL_EVERY = 10.0
 # What may stand once in a head: readers that pick another copy would see another request.
@@ -227,9 +225,10 @@
 
         Those that the system has already taken into its queue are taken first: closing would reset them.
         """
-        loop = asyncio.get_running_loop()
-        until = loop.time() + QUEUE_LONG
-        while self.listener is not None and is_readable(self.listening) and loop.time() < until:
+        # By turns of the loop, not by time: a process that stood still would take none of a full queue.
+        for _ in range(BACKLOG // ACCEPT_AT_ONCE):
+            if self.listener is None or not is_readable(self.listening):
+                break
             await asyncio.sleep(0)
         self.accept(False)
         if self.listening is not None:
