A long answer that began late is not cut while its server still gives

Now the pace of all who are slow decides from the caller's time on, with 0.4 s of grace until it is known to be large.

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -17,6 +17,8 @@
 # Whoever sends or takes may be silent for so many seconds, and must keep up so many bytes a second on top.
 GRACE = 2.0
 SLOWEST = 32_000
+# The same grace for an answer that is not known to be large, once its caller's time is over.
+LATE_GRACE = 0.4
 # The same for those who take. The system keeps up to some MB for a slow taker and tells only when a third of
 # that is free again: at twice the pace above that is a silence of more than ten seconds.
 TAKER_GRACE = 30.0
@@ -59,8 +61,9 @@
 class Due:
     """Until when an answer that is passed on as it comes must be whole.
 
-    Its caller's time bounds it, or one that dribbles would never end. A large one that still goes on then may
-    take longer, but has to keep up the pace of all who are slow.
+    Its caller's time bounds it, or one that dribbles would never end. One that still goes on then is not cut
+    off, but has to keep up the pace of all who are slow; until it is seen to be large its grace is short, so
+    that what never ends is ended within the half second that a late answer has.
     """
 
     __slots__ = ("at", "late", "passed", "told")
@@ -76,22 +79,20 @@
 
     async def within(self, read: Callable[[], Awaitable[bytes]]) -> bytes:
         """The next piece; TimeoutError where it is too late for it."""
-        try:
-            if self.late is None:
+        if self.late is None:
+            try:
                 async with asyncio.timeout_at(self.at):
-                    return self._came(await read())
-        except TimeoutError:
-            if max(self.told, self.passed) <= BODY_MOST:
-                raise TimeoutError("it was not whole in its caller's time") from None
-            self.late = Progress()
+                    piece = await read()
+                self.passed += len(piece)
+                return piece
+            except TimeoutError:
+                self.late = Progress()
+        self.late.grace = GRACE if max(self.told, self.passed) > BODY_MOST else LATE_GRACE
         try:
-            piece = self._came(await self.late.within(read()))
+            piece = await self.late.within(read())
         except TimeoutError:
-            raise TimeoutError("its server is too slow") from None
+            raise TimeoutError("it was not whole in its caller's time, and its server is too slow") from None
         self.late.done += len(piece)
-        return piece
-
-    def _came(self, piece: bytes) -> bytes:
         self.passed += len(piece)
         return piece
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -595,6 +595,34 @@
                 await until(lambda s=server: s.closed == 1)  # type: ignore[misc]
                 self.assertEqual(running.node.balancer.inquiries, {})
 
+    async def test_a_long_one_of_untold_length_that_began_late_goes_on_while_it_keeps_up(self) -> None:
+        """Little of it has come when its caller's time is over; cut off while it still comes, it is lost."""
+        point = Point()
+
+        async def play(seen: Seen, reader: Any, writer: Any) -> None:
+            writer.write(CHUNKED_HEAD + chunked(b"."))
+            await asyncio.sleep(0.12)
+            writer.write(chunked(b"."))
+            await point.stop()
+            for _ in range(100):
+                writer.write(chunked(bytes(1600)))
+                await asyncio.sleep(0.02)
+            writer.write(chunked(b""))
+
+        running = await self.node(await self.stand_in(play))
+        caller = await running.caller()
+        caller.send("read", b"", "500m")
+        began = clock()
+        await point.reached.wait()
+        await asyncio.sleep(0.4 - (clock() - began) / 1e6)
+        point.go.set()
+        came = b""
+        while not came.endswith(b"0\r\n\r\n"):
+            piece = await asyncio.wait_for(caller.reader.read(1 << 16), 5)
+            self.assertNotEqual(piece, b"", f"cut behind {len(came)} bytes")
+            came += piece
+        self.assertGreater(len(came), 160_000)
+
     async def test_a_large_one_goes_on_while_it_keeps_up(self) -> None:
         for goes_on in (True, False):
             with self.subTest(goes_on=goes_on):
