--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
@@ -228,6 +229,19 @@
         return self.callers[-1]
 
 
+class NodeCase(unittest.IsolatedAsyncioTestCase):
+    """A node between stand-ins, all gone when the test is over."""
+
+    async def stand_in(self, play: Played = serve_well) -> StandIn:
+        stand_in = await StandIn(play).start()
+        self.addCleanup(stand_in.stop)
+        return stand_in
+
+    async def node(self, *servers: StandIn, **told: Any) -> RunningNode:
+        entries = [entry(f"s{i}", server.address) for i, server in enumerate(servers)]
+        return await self.enterAsyncContext(RunningNode(config(server_list(1, True, *entries), **told)))
+
+
 async def until(true: Callable[[], bool], seconds: float = 5.0) -> None:
     """Wait for what must come; the time is only there to fail by."""
     async with asyncio.timeout(seconds):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -33,6 +33,7 @@
     SETTINGS,
     Caller,
     LateConnects,
+    NodeCase,
     Played,
     Point,
     RunningNode,
@@ -51,23 +52,12 @@
 )
 
 
-class EndingCase(unittest.IsolatedAsyncioTestCase):
-    async def stand_in(self, play: Played = serve_well) -> StandIn:
-        stand_in = await StandIn(play).start()
-        self.addCleanup(stand_in.stop)
-        return stand_in
-
-    async def node(self, *servers: StandIn, **told: Any) -> RunningNode:
-        entries = [entry(f"s{i}", server.address) for i, server in enumerate(servers)]
-        return await self.enterAsyncContext(RunningNode(config(server_list(1, True, *entries), **told)))
-
-
 def indented(told: dict[str, Any]) -> bytes:
     """With a blank line inside, as printers of JSON may leave one."""
     return json.dumps(told, indent=2).replace("[\n", "[\n\n", 1).encode() + b"\n"
 
 
-class Watches(EndingCase):
+class Watches(NodeCase):
     """A watch that ends in silence, in the middle of an object, or at a discovery that was set back."""
 
     def setUp(self) -> None:
@@ -191,7 +181,7 @@
         self.assertNotIn("after=", discovery.seen[1].line)
 
 
-class Departures(EndingCase):
+class Departures(NodeCase):
     """A client that leaves while its request waits: it is not sent on, whatever it waited for.
 
     Each with withdrawals allowed and not: what was never written needs none.
@@ -394,7 +384,7 @@
 GET = b"GET /read/1 HTTP/1.1\r\nHost: s\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n"
 
 
-class Connections(EndingCase):
+class Connections(NodeCase):
     """A connection to a server that ends, or changes hands, as a trip begins or ends on it."""
 
     async def asyncSetUp(self) -> None:
@@ -566,7 +556,7 @@
         self.assertEqual(server.seen, [])
 
 
-class Answers(EndingCase):
+class Answers(NodeCase):
     """An answer that has begun and does not come to its end."""
 
     async def test_one_that_never_ends_is_cut_when_its_callers_time_is_over(self) -> None:
@@ -670,7 +660,7 @@
             await caller.reader.read()
 
 
-class Closings(EndingCase):
+class Closings(NodeCase):
     """A caller's connection that the node closes while a request lies there that it has not read."""
 
     async def test_a_request_that_lies_unread_is_answered_whatever_closes_idle_connections(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,7 +24,7 @@
 from tests.standins import (
     SETTINGS,
     Caller,
-    Played,
+    NodeCase,
     RunningNode,
     Seen,
     StandIn,
@@ -40,17 +40,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-class NodeCase(unittest.IsolatedAsyncioTestCase):
-    async def stand_in(self, play: Played = serve_well) -> StandIn:
-        stand_in = await StandIn(play).start()
-        self.addCleanup(stand_in.stop)
-        return stand_in
-
-    async def node(self, *servers: StandIn, **told: Any) -> RunningNode:
-        entries = [entry(f"s{i}", server.address) for i, server in enumerate(servers)]
-        return await self.enterAsyncContext(RunningNode(config(server_list(1, True, *entries), **told)))
-
-
 class Inquiries(NodeCase):
     async def test_ready_and_served_unchanged(self) -> None:
         server = await self.stand_in()
@@ -297,6 +286,10 @@
             await until(lambda: running.node.phase is Phase.ENDED, 1.0)
 
 
+# What is tested here is who makes room among connections that are all new or all in use; on a busy machine
+# the quiet timer would close them first, or they would be old by the time they ask.
+@mock.patch("coraldeal.net.callers.QUIET_LONG", 60.0)
+@mock.patch("coraldeal.net.callers.SILENT_LONG", 60.0)
 class Descriptors(NodeCase):
     async def test_idle_callers_make_room_for_new_ones(self) -> None:
         server = await self.stand_in()
@@ -330,10 +323,12 @@
 
     async def test_beyond_the_limit_an_inquiry_is_refused_not_lost(self) -> None:
         server = await self.stand_in(never_answer)
-        node = await self.node(server, sockets=140)
+        longer = {"expected_time_ns": 30 * 10**9, "patience_ns": 60 * 10**9}
+        tracks = [{**track, **longer} for track in SETTINGS["tracks"]]
+        node = await self.node(server, sockets=140, tracks=tracks)
         callers = [await node.caller() for _ in range(53)]
         for caller in callers:
-            caller.send()
+            caller.send("read", b"", "60000m")
         await until(lambda: len(node.node.inquiries.in_hand) == 53)
         # None is idle: new ones go over the limit, and must not be closed before what they bring is read.
         late = [await node.caller() for _ in range(60)]
