Caps fall by one where answers are far too late; late connects leave the bucket

A cap rose only by answers in time and fell only by failures, so the five nodes went on holding 3 to 6 trips each at servers that had become slow under just that, with a quarter of the traffic. The tier before waits for these answers: its holds end without a place, its bucket goes to its floor (14 of 100 sent), the deferred come back. Servers so overdriven stay slow until they are left alone for seconds.

Ruled out: rests (none), shares (no tenants there), failures (12 errors in 3,550), cold servers (one of four).

An answer that leaves its server's pace over twice what is in time takes one place from that server's cap, once for the trips sent together, down to one. And CONNECT_FAILED no longer moves the bucket: a connection that is late or refused says nothing of load.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -47,6 +47,8 @@
 SWEEP = SECOND // 4
 # What counts as in time, as a multiple of the mean when all is well.
 IN_TIME = 1.5
+# From what multiple of it on answers are so late that fewer trips are to wait there: twice what is in time.
+FAR_LATE = 2 * IN_TIME
 # Up to what part of their time answers may take while a node is calm.
 CALM = 0.5
 # How many times the fleet's median pace marks a server that gives up turns.
@@ -73,16 +75,13 @@
 # The part of their mean that is taken for calm at first.
 FIRST_PART = 0.6
 # How many servers of the rotation are asked about before a trip, and how many it has there at the least.
-ASKED = 3
-WIDTH_ASKED = 5
+ASKED, WIDTH_ASKED = 3, 5
 # How many trips of all nodes servers take at first and at the least, and how far that moves with an answer.
 BOUND_START, BOUND_LEAST, BOUND_STEP = 4.0, 2.0, 0.02
 # How far a node's bound goes towards one that it is told of, and from what part of it a server is full.
-AGREE = 0.1
-NEARLY = 0.75
+AGREE, NEARLY = 0.1, 0.75
 # The part of a server that is open to what pays least, and how many wait at most for a free place there.
-LEAST_ROOM = 0.5
-WAITING_MOST = 64
+LEAST_ROOM, WAITING_MOST = 0.5, 64
 # An answer is waited for no longer: two ways between far halls. What was told holds four times as long.
 ASK_WAIT = 80_000
 
@@ -639,7 +638,6 @@
         """
         chance = {s.entry.server: crc32(f"{self.seed} {s.entry.server}".encode()) for s in servers}
         own = sorted(servers, key=lambda s: (s.entry.zone != self.settings.zone, chance[s.entry.server]))
-        # So many that a server is in the rotations of COMPANY nodes.
         width = -(-COMPANY * len(servers) // self.settings.instances)
         width = rotation.width = max(WIDTH_ASKED if self.may_message else 2, width)
         rotation.ranked = own
@@ -874,6 +872,9 @@
             # A cap rises only where it was used up: otherwise the answer says nothing about it.
             if trip.filled and server.pace <= IN_TIME:
                 server.cap += 1
+            elif server.pace > FAR_LATE and server.cap > 1 and trip.sent_at > server.halved_at:
+                # Late without failing: what all nodes hold there keeps it slow, also once their burst is over.
+                server.cap, server.halved_at = server.cap - 1, now
         elif outcome in (Outcome.SPOILT, Outcome.RESET) and server.fail_share < MOSTLY:
             # It wrote its answer badly or dropped a connection: no sign of load, unless it does little else.
             server.fail_share += 0.2 * (1 - server.fail_share)
@@ -881,16 +882,16 @@
             if outcome is Outcome.TIMEOUT or trip.inquiry.end - now < 4 * self.margin:
                 # An error at the very end is a time-out too: deeper down the time ran out a little earlier.
                 state.learn(latency, False)
-            self._fell()
+            if outcome is not Outcome.CONNECT_FAILED:
+                # A connection that is late or refused says nothing of load: the server alone answers for it.
+                self._fell()
             if trip.inquiry.end - trip.sent_at < state.slow:
                 # It was sent with too little time left for a usual answer: that is not the server's failure.
                 return
             lowest = server.cap == 1
             if trip.sent_at > server.halved_at:
-                # Trips sent before the last halving tell of the same trouble: several at once would leave a
-                # cap of one where half of it was enough.
-                server.cap = max(1, server.cap // 2)
-                server.halved_at = now
+                # Trips sent before the last halving tell of the same trouble: half was enough.
+                server.cap, server.halved_at = max(1, server.cap // 2), now
             server.fail_share += 0.2 * (1 - server.fail_share)
             if lowest and server.fail_share > trip.inquiry.rotation.median_fail_share:
                 self._rest(server, now, outcome.value)
@@ -960,8 +961,7 @@
         servers, ranked = self.whole.servers, self.whole.ranked
         weight = 0.5 if now - self.started < 2 * SECOND else 0.1
         self.arrival_rate += weight * (self.metered / SWEEP - self.arrival_rate)
-        # In an outage of all, what was sent before stays the measure of what servers may get that come back:
-        # cold ones were sent nothing until they were warm.
+        # In an outage of all, what was sent before stays the measure of what servers that come back may get.
         able = any(server.rest_until <= now and server.warm_at <= now for server in servers)
         if able or self.sent / SWEEP > self.send_rate:
             self.send_rate += weight * (self.sent / SWEEP - self.send_rate)
