--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -873,7 +873,7 @@
             if trip.filled and server.pace <= IN_TIME:
                 server.cap += 1
             elif server.pace > FAR_LATE and server.cap > 1 and trip.sent_at > server.halved_at:
-                # Late without failing: what all nodes hold there keeps it slow, also once their burst is over.
+                # Late without failing: what all nodes hold there keeps it slow, also once the burst is over.
                 server.cap, server.halved_at = server.cap - 1, now
         elif outcome in (Outcome.SPOILT, Outcome.RESET) and server.fail_share < MOSTLY:
             # It wrote its answer badly or dropped a connection: no sign of load, unless it does little else.
