Objects of a watch are told one by one: one that can't be read loses none before it

Cause: wire.Objects.feed collected all objects of a piece and raised for what can't begin one, or has no end, before it handed out the good ones; the change that they held counted as told and came only with the next whole list. Now feed is a generator and discovery.Discovery._told tells each object before the next is looked at. Ruled out beside it: a reset right behind an object (the probe stays as a test; it holds without this change). The assertion over bad pieces in test_objects_are_found_however_they_are_cut now draws the generator to its end; it is as strict.

--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -109,9 +109,14 @@
         return silence.expired()
 
     def _told(self, objects: Objects, piece: bytes) -> int:
-        """How many objects are whole with this piece, each of them told."""
-        whole = self._readable(objects.feed, piece)
-        for text in whole:
+        """How many objects are whole with this piece, each told before the next one is looked at.
+
+        What can't be read takes nothing back of what stands before it: that counts as told.
+        """
+        whole = objects.feed(piece)
+        count = 0
+        while text := self._readable(lambda _: next(whole, b""), piece):
+            count += 1
             told = self._readable(self.read, text)
             is_back = not told.whole and told.version < self.version
             self.version = -1 if is_back else told.version
@@ -121,7 +126,7 @@
                 # Discovery was set back: these are not the changes since the list held, and the rest of them
                 # would never come.
                 raise aiohttp.ClientPayloadError(f"its versions went back to {told.version}")
-        return len(whole)
+        return count
 
     def _readable(self, read: Callable[[bytes], T], text: bytes) -> T:
         try:
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -8,7 +8,7 @@
 import json
 import math
 import re
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -245,16 +245,16 @@
         self.at = self.depth = 0
         self.begun = False
 
-    def feed(self, piece: bytes) -> list[bytes]:
-        """The objects that are whole with this piece; ValueError for what can't begin one, or is too long."""
+    def feed(self, piece: bytes) -> Iterator[bytes]:
+        """Each object that is whole with this piece; behind them ValueError for what can't begin one, or is
+        too long."""
         self.held += piece
-        whole = []
         while self._began() and (end := self._end()) > 0:
-            whole.append(self.held[:end])
+            whole = self.held[:end]
             self.held, self.at, self.begun = self.held[end:], 0, False
+            yield whole
         if len(self.held) > OBJECT_MOST:
             raise ValueError(f"an object of more than {OBJECT_MOST} bytes")
-        return whole
 
     def _began(self) -> bool:
         if not self.begun:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -81,7 +82,7 @@
             self.assertEqual([json.loads(one) for one in whole], [first, second, {}])
         for bad in (b"x", b"[]", b"  \n}", b"{} nonsense"):
             with self.subTest(bad=bad), self.assertRaises(ValueError):
-                Objects().feed(bad)
+                list(Objects().feed(bad))
 
     async def test_an_indented_list_is_read_and_so_is_what_follows(self) -> None:
         new, other = await self.stand_in(), await self.stand_in()
@@ -169,6 +170,38 @@
         self.assertIn("generation", told)
         self.assertEqual(list(node.node.balancer.servers), ["s0"])
 
+    async def test_what_is_whole_is_told_before_what_cannot_be_read_behind_it(self) -> None:
+        drains = json.dumps(server_list(2, False, entry("s0", "127.0.0.1:1", "Terminating"))).encode()
+        bad = b'{"generation": 3, "reset": false, "instances": [{}]}'
+        for name, behind in (("no object", b" nonsense"), ("no list", bad), ("no end", b"{" + b" " * 2000)):
+            # In one chunk, so that the node reads both at once; the next watch says nothing more.
+            plays = [watch(drains + behind), never_answer]
+
+            async def play(seen: Seen, reader: Any, writer: Any, plays: list[Played] = plays) -> None:
+                await plays.pop(0)(seen, reader, writer)
+
+            with self.subTest(name), mock.patch.object(wire, "OBJECT_MOST", 1000):
+                node, discovery = await self.watched(play, pushed=True)
+                await until(lambda d=discovery: len(d.seen) == 2)  # type: ignore[misc]
+                self.assertEqual(list(node.node.balancer.servers), [])
+                self.assertNotIn("after=", discovery.seen[1].line)
+
+    async def test_what_is_written_is_told_though_its_watch_is_reset_right_behind_it(self) -> None:
+        drains = json.dumps(server_list(2, False, entry("s0", "127.0.0.1:1", "Terminating"))).encode()
+
+        async def play(seen: Seen, reader: Any, writer: Any) -> None:
+            if len(discovery.seen) > 1:
+                await reader.read()
+            near = writer.get_extra_info("socket")
+            near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.write(CHUNKED_HEAD + chunked(drains))
+            writer.transport.abort()
+
+        node, discovery = await self.watched(play, pushed=True)
+        await until(lambda: len(discovery.seen) == 2)
+        self.assertIn("after=2", discovery.seen[1].line)
+        self.assertEqual(list(node.node.balancer.servers), [])
+
     async def test_an_object_without_end_is_not_kept_for_good(self) -> None:
         line = json.dumps(server_list(2, False)).encode() + b"\n"
         with (
