A client that left with requests in its line costs no connections for them; departures forced

Seen: a client that sends 400 requests at once and leaves while the first attempt is out is found to have left right before the next first byte (`Inquiry.begin`), and is answered 499. With its sending shut only, the answer went through and the connection stayed, so that each of the other 399 requests opened and closed a connection to a server: 385 in 2.5 s by a probe, and handshakes are scarce. At fault: `Callers._answer`, which closed for unread bodies alone. The answer that nobody hears now closes the connection.

Looked for besides: an attempt, first or further, that begins after its client's close. Forced on real sockets and none found: with the departure unseen while the attempt before is out (close, reset, sending shut; withdrawals allowed and not), while a further attempt's connection comes up, in the turn in which it is up with the loop 0.12 s late, behind a body whose first attempt was refused, and behind an attempt that outlives its inquiry. Each is also played with a client that stays, where the attempt does begin.

--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -320,7 +320,11 @@
             due = due if call.rest is None else loop.time() + patience / 1e6
             return await self._pass_on(request, call, answer, answer.rest, due)
         self.figures.ended(call.track, answer.status)
-        return self._response(answer, close=call.rest is not None and not request.content.is_eof())
+        # Nobody hears what else stands in the line of a client that has gone: each would cost a connection.
+        gone = answer.status == 499 and has_left(request.transport)
+        return self._response(
+            answer, close=gone or (call.rest is not None and not request.content.is_eof())
+        )
 
     async def _pass_on(
         self, request: web.BaseRequest, call: Call, answer: Answer, rest: Rest, due_at: float
