A list is learned by an index of addresses, and the longest idle connection is found at once

Ruled out: `Target` itself and the reading of the list, which are linear.

Change: who stands at an address is kept in a dictionary beside the targets. Addresses are unique among targets, as before, so that the answer and its order are the same. Of a list of changes its own servers are looked at alone; where several of them drain in one list their connections close in that list's order and no more in that of targets.

--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any
 from zlib import crc32
@@ -95,10 +96,12 @@
         """It may carry the next trip."""
         self.free_at = self.servers.loop.time()
         self.target.idle.append(self)
+        self.servers.resting[self] = None
 
     def _leave_rest(self, closed: bool) -> None:
         if self.free_at:
             self.target.idle.remove(self)
+            del self.servers.resting[self]
             self.rested = self.servers.loop.time() - self.free_at
             self.free_at = 0.0
             self.servers.rest_ended(self.target, self.rested, closed)
@@ -237,6 +240,11 @@
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.targets: dict[ServerId, Target] = {}
+        # Who stands at an address: one at each.
+        self.standing: dict[str, ServerId] = {}
+        # Connections at rest, the one that rests longest first; ordered so that the first is found at once,
+        # however many left before it.
+        self.resting: OrderedDict[Connection, None] = OrderedDict()
         self.make_room = make_room
         self.may_send = may_send
         self.figures = figures
@@ -262,7 +270,7 @@
     def _sweep(self) -> None:
         """Close what has been idle too long."""
         now = self.loop.time()
-        for target in self.targets.values():
+        for target in dict.fromkeys(connection.target for connection in self.resting):
             keep = self._keep(target, careful=False)
             while target.idle and target.idle[0].free_at < now - keep:
                 target.idle[0].drop()
@@ -294,8 +302,7 @@
 
     def close_one_idle(self) -> bool:
         """Give up the connection that has been idle the longest."""
-        first = (target.idle[0] for target in self.targets.values() if target.idle)
-        oldest = min(first, key=lambda connection: connection.free_at, default=None)
+        oldest = next(iter(self.resting), None)
         if oldest is not None:
             oldest.drop()
         return oldest is not None
@@ -306,8 +313,8 @@
         A new server may stand where one stood that the list has not called gone yet.
         """
         told = {entry.server: (entry.condition, address) for entry, address in listed}
-        for server in list(self.targets):
-            condition, _ = told.get(server, (Condition.GONE if whole else Condition.READY, ""))
+        for server in list(self.targets) if whole else [server for server in told if server in self.targets]:
+            condition, _ = told.get(server, (Condition.GONE, ""))
             if condition is Condition.GONE:
                 self._remove(server)
             elif condition is Condition.DRAINING:
@@ -321,16 +328,19 @@
                 continue
             if known is not None:
                 self._remove(server)
-            for other in [name for name, target in self.targets.items() if target.address == address]:
+            other = self.standing.get(address)
+            if other is not None:
                 self._remove(other)
                 lost.append(other)
             self.targets[server] = Target(address)
+            self.standing[address] = server
             if self.ages is not None:
                 self.targets[server].rests = self.ages.server()
         return lost
 
     def _remove(self, server: ServerId) -> None:
         target = self.targets.pop(server)
+        del self.standing[target.address]
         target.listed = False
         target.close_idle()
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -5,6 +5,9 @@
 import asyncio
 import socket
 import unittest
+from collections.abc import Iterator
+from random import Random
+from typing import Any
 from unittest import mock
 
 from coraldeal.interface import Condition, Entry, Outcome
@@ -33,6 +36,26 @@
     return b"POST /read/1 HTTP/1.1\r\nHost: s\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
 
 
+class Counted(dict[str, Any]):
+    """A dictionary that counts how many of its entries were looked through one after the other."""
+
+    seen = 0
+
+    def _all(self, found: Any) -> Iterator[Any]:
+        for one in found:
+            self.seen += 1
+            yield one
+
+    def __iter__(self) -> Iterator[Any]:
+        return self._all(super().__iter__())
+
+    def items(self) -> Any:
+        return self._all(super().items())
+
+    def values(self) -> Any:
+        return self._all(super().values())
+
+
 def entry(name: str, condition: Condition = Condition.READY) -> Entry:
     return Entry(name, "z", 0, condition, 0)
 
@@ -240,6 +263,80 @@
         self.assertEqual(list(self.servers.targets), ["u"])
         self.assertEqual(self.servers.held, 0)
 
+    def learned_plainly(self, targets: dict[str, str], listed: list[Listed], whole: bool) -> list[str]:
+        """What `learn` does, said by looking through all servers each time: addresses by server, in order."""
+        told = {one.server: (one.condition, address) for one, address in listed}
+        for server in list(targets):
+            if told.get(server, (Condition.GONE if whole else None, ""))[0] is Condition.GONE:
+                del targets[server]
+        lost = []
+        for server, (condition, address) in told.items():
+            if condition is Condition.GONE or not address or targets.get(server) == address:
+                continue
+            targets.pop(server, None)
+            for other in [name for name, at in targets.items() if at == address]:
+                del targets[other]
+                lost.append(other)
+            targets[server] = address
+        return lost
+
+    async def test_lists_drawn_by_chance_are_learned_as_by_looking_through_all(self) -> None:
+        draw = Random(1)
+        targets: dict[str, str] = {}
+        conditions = (*[Condition.READY] * 4, Condition.DRAINING, Condition.GONE)
+        for turn in range(400):
+            listed = [
+                Listed(
+                    entry(f"s{draw.randrange(12)}", draw.choice(conditions)),
+                    draw.choice(("", *[f"127.0.0.1:{draw.randrange(1, 9)}"] * 5)),
+                )
+                for _ in range(draw.choice((1, 2, 12)))
+            ]
+            whole = draw.random() < 0.1
+            with self.subTest(turn=turn):
+                lost = self.servers.learn(listed, whole)
+                self.assertEqual(lost, self.learned_plainly(targets, listed, whole))
+                now = {name: target.address for name, target in self.servers.targets.items()}
+                self.assertEqual(list(now.items()), list(targets.items()))
+
+    async def test_a_list_costs_as_much_as_it_is_long(self) -> None:
+        def line(number: int, port: int) -> Listed:
+            return Listed(entry(f"s{number}"), f"127.0.0.1:{port}")
+
+        count = 500
+        targets = self.servers.targets = Counted()
+        self.servers.learn([line(number, 1000 + number) for number in range(count)], whole=True)
+        self.servers.learn([line(number, 1000 + number) for number in range(count)], whole=True)
+        self.assertLessEqual(targets.seen, 2 * count)
+        targets.seen = 0
+        self.assertEqual(self.servers.learn([line(count, 1007)]), ["s7"])
+        self.servers.learn([Listed(entry("s8", Condition.DRAINING), "127.0.0.1:1008")])
+        self.servers.learn([Listed(entry("s9", Condition.GONE), "")])
+        self.assertEqual(targets.seen, 0, "a change looks through no other server")
+        self.assertEqual(len(targets), count - 1)
+
+    async def test_the_longest_idle_goes_first_and_is_found_without_looking_through_servers(self) -> None:
+        ends = {name: await StandIn(serve_well).start() for name in ("a", "b", "c")}
+        for end in ends.values():
+            self.addCleanup(end.stop)
+        self.servers.learn([Listed(entry(name), end.address) for name, end in ends.items()])
+        self.servers.learn([Listed(entry(f"s{i}"), f"127.0.0.1:{i + 1}") for i in range(100)])
+        for name in ("b", "c", "a", "b"):
+            await self.servers.trip(name, GET, 5 * SECOND)
+            # Longer than a connection settles, so that the next trip there takes it.
+            await asyncio.sleep(0.02)
+        targets = self.servers.targets = Counted(self.servers.targets)
+        left = list(ends)
+        for name in ("c", "a", "b"):
+            self.assertTrue(self.servers.close_one_idle())
+            left = [one for one in left if one != name]
+            self.assertEqual([one for one in ends if targets[one].idle], sorted(left))
+        await until(lambda: all(end.closed == 1 for end in ends.values()))
+        self.assertFalse(self.servers.close_one_idle())
+        self.servers.sweeper.cancel()
+        self.servers._sweep()
+        self.assertEqual(targets.seen, 0)
+
     async def test_time_out_and_stop_close_the_connection(self) -> None:
         server = await self.stand_in(never_answer)
         self.assertIs((await self.trip(timeout_us=SECOND // 20)).outcome, Outcome.TIMEOUT)
