A change of the list puts its server in its place; all is drawn anew for whole lists alone

Cause: `draw_servers` looked at all servers for one change: conditions, tags, a checksum and a sort by it for each rotation, and for many nodes the ring. Among 21,000 servers that was a stand-still of 50 to 80 ms each. Ruled out: keeping it and sorting what is nearly sorted (tried: 38 ms, for each pass over servers scattered in memory costs as much as its comparisons).

Change: each server has its place in the node's order as a word (own zone first, then chance, then its name, so that no two are alike); the order over all stays sorted and is shared by the rotation of tracks that may go anywhere. A change takes its servers out, and puts those that may be sent to in. Who comes first where there are many nodes is kept beside the order and no more put in front of a copy of it; what is drawn of both is the same. Tracks bound to zones or kinds filter that order, in one pass as before.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -22,9 +22,10 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
-from itertools import islice
+from itertools import chain, islice
 from zlib import crc32
 
 from coraldeal.interface import (
@@ -145,6 +146,8 @@
     # How many trips of other nodes are there, as its keeper told, and until when that counts.
     told: int = 0
     told_until: int = 0
+    # Its place in the node's order: the own zone first, then by chance, so that nodes do not send in step.
+    place: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -199,7 +202,8 @@
     """The servers open to a track, in the node's order; tracks bound alike share one."""
 
     ranked: list[Server] = field(default_factory=list)
-    # How many of them get trips, which these are, and which of them stand in the node's own zone.
+    # Who comes before them, how many get trips, which these are, and which of them stand in the own zone.
+    first: dict[Server, None] = field(default_factory=dict)
     width: int = 2
     servers: list[Server] = field(default_factory=list)
     near: list[Server] = field(default_factory=list)
@@ -577,83 +581,77 @@
             self.listed[entry.server] = entry
             if entry.condition is Condition.GONE:
                 del self.listed[entry.server]
-        self.draw_servers()
+        self.draw_servers([entry.server for entry in entries] if kind is ListKind.CHANGES else None)
 
     def leave_out(self, server: ServerId, sure: bool = False) -> bool:
         """By hand: nothing goes there until it is put back, whatever the list says. False: unknown."""
         if sure or server in self.listed:
             self.left_out.setdefault(server, self.host.now)
-            self.draw_servers()
+            self.draw_servers([server])
         return server in self.left_out
 
     def put_back(self, server: ServerId) -> bool:
         """By hand: the list alone speaks for this server again, taken for just started; False: unknown."""
-        now = self.host.now
-        since = self.left_out.pop(server, None)
-        entry = self.listed.get(server)
+        since, entry = self.left_out.pop(server, None), self.listed.get(server)
         if since is not None and entry is not None:
             if entry.born_us < since:
-                self.listed[server] = replace(entry, born_us=now)
-            self.draw_servers()
+                self.listed[server] = replace(entry, born_us=self.host.now)
+            self.draw_servers([server])
         return since is not None or entry is not None
 
     def may_send(self, server: ServerId) -> bool:
         """Whether a trip chosen before may still begin: it may have left the rotation since."""
         return server in self.servers
 
-    def draw_servers(self) -> None:
-        """Who may be sent to: what the list calls ready and nobody left out."""
-        now = self.host.now
+    def draw_servers(self, changed: list[ServerId] | None = None) -> None:
+        """Who may be sent to: what the list calls ready and nobody left out; of these alone, or all anew."""
+        now, ranked = self.host.now, self.whole.ranked
         caps = [server.cap for server in self.whole.servers]
         mean_cap = round(sum(caps) / len(caps)) if caps else 2
-        told = {}
-        for name, entry in self.listed.items():
-            if entry.condition is not Condition.READY or name in self.left_out:
+        names = dict.fromkeys([*self.servers, *self.listed] if changed is None else changed)
+        old = {name: self.servers.pop(name) for name in names if name in self.servers}
+        for server in old.values() if changed else ():
+            del ranked[bisect_left(ranked, server.place, key=lambda s: s.place)]
+        for name in names if len(names) == 1 else [name for name in self.listed if name in names]:
+            entry, known = self.listed.get(name), old.get(name)
+            if entry is None or entry.condition is not Condition.READY or name in self.left_out:
                 continue
-            known = self.servers.get(name)
             if known is None or known.entry.born_us < entry.born_us:
-                # A restart under the same id is a new, cold server. A whole trip from each node at once could
-                # push it over: by chance, half of one.
+                # A restart is a new, cold server; a whole trip of each node at once could push it over: by chance half.
                 warm_at = entry.born_us + self.settings.warm_after_us if entry.born_us else 0
                 known = Server(entry, entry.tag, mean_cap, warm_at, self._chance(), now)
-            known.entry = entry
-            told[name] = known
-        self.servers = told
-        if told:
-            self.mean_size = sum(server.entry.size for server in told.values()) / len(told)
-        self.by_tag = {server.tag: server for server in told.values()}
+                known.place = f"0{crc32(f'{self.seed} {name}'.encode()):08x}{name}"
+            known.place = f"{entry.zone != self.settings.zone:d}{known.place[1:]}"
+            known.entry, self.servers[name] = entry, known
+            if changed:
+                insort(ranked, known, key=lambda s: s.place)
+        ranked = sorted(self.servers.values(), key=lambda s: s.place) if changed is None else ranked
+        told = [self.servers[n] for n in self.listed if n in self.servers] if self.may_message else []
+        self.mean_size = sum(server.entry.size for server in told) / len(told) if told else self.mean_size
+        self.by_tag = {server.tag: server for server in told}
         self.books = {tag: book for tag, book in self.books.items() if tag in self.by_tag}
         self.asking = {tag: waiting for tag, waiting in self.asking.items() if tag in self.by_tag}
         for (zones, kinds), rotation in self.rotations.items():
-            there = [server for server in told.values() if not zones or server.entry.zone in zones]
-            self._rank(rotation, [server for server in there if not kinds or server.entry.kind in kinds])
+            own = [s for s in ranked if s.entry.zone in zones] if zones else ranked
+            own = rotation.ranked = [s for s in own if s.entry.kind in kinds] if kinds else own
+            width = -(-COMPANY * len(own) // self.settings.instances)
+            width = rotation.width = max(WIDTH_ASKED if self.may_message else 2, width)
+            # With many nodes the first few, COMPANY nodes to a server, spread by the node's number: chance
+            # alone would be uneven. Replacements come by chance, so that the nodes of a bad server part.
+            near = (bisect_left(own, "1", key=lambda s: s.place) or len(own)) if width < len(own) else 0
+            ring = sorted(own[:near], key=lambda s: crc32(s.entry.server.encode()))
+            at = int(self.place * len(ring))
+            rotation.first = dict.fromkeys((ring[at:] + ring[:at])[:width])
         self._draw_rotations(now)
         self._fill(now)
 
-    def _rank(self, rotation: Rotation, servers: list[Server]) -> None:
-        """The node's own order: its zone first, then by chance, so that nodes do not send in step.
-
-        With many nodes the rotation is the first few of them, spread by the node's number: chance alone would
-        be uneven. Replacements come by chance, so that the nodes of a bad server part.
-        """
-        chance = {s.entry.server: crc32(f"{self.seed} {s.entry.server}".encode()) for s in servers}
-        own = sorted(servers, key=lambda s: (s.entry.zone != self.settings.zone, chance[s.entry.server]))
-        width = -(-COMPANY * len(servers) // self.settings.instances)
-        width = rotation.width = max(WIDTH_ASKED if self.may_message else 2, width)
-        rotation.ranked = own
-        if width < len(servers):
-            ring = [s for s in servers if s.entry.zone == self.settings.zone] or servers
-            ring.sort(key=lambda s: crc32(s.entry.server.encode()))
-            at = int(self.place * len(ring))
-            first = (ring[at:] + ring[:at])[:width]
-            rotation.ranked = first + [s for s in own if s not in first]
-
     def _draw_rotations(self, now: int) -> None:
         """All servers of the node's order, or with many nodes the first not at rest, so that caps bind."""
         for rotation in self.rotations.values():
-            ranked, width = rotation.ranked, rotation.width
-            awake = (s for s in ranked if s.rest_until <= now) if width < len(ranked) else ranked
-            rotation.servers = list(islice(awake, width)) or ranked[:width]
+            first, ranked, width = rotation.first, rotation.ranked, rotation.width
+            order = chain(first, (s for s in ranked if s not in first)) if first else ranked
+            awake = (s for s in order if s.rest_until <= now) if first else ranked
+            rotation.servers = list(islice(awake, width)) or list(dict.fromkeys([*first, *ranked]))[:width]
             rotation.near = [s for s in rotation.servers if s.entry.zone == self.settings.zone]
 
     def list_failed(self) -> None:
