--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -88,6 +88,14 @@
     )
     bulk.add_argument("--count", type=int, default=50, help="how many at once (default: 50)")
     bulk.add_argument("--megabytes", type=int, default=32, help="of each (default: 32)")
+    scale = add("scale", "what size costs", "coraldeal rig scale slopes --only change --out slopes.json")
+    scales = scale.add_subparsers(dest="scale", required=True)
+    slopes = scales.add_parser("slopes", help="what one more of something costs, with the fitted line")
+    slopes.add_argument(
+        "--only", action="append", default=[], metavar="NAME", help="this one; may be repeated"
+    )
+    slopes.add_argument("--quick", action="store_true", help="small sizes, and no processes of their own")
+    slopes.add_argument("--out", type=Path, help="write all measures there, JSON")
     demo = add("demo", "thirty seconds of a node among servers in trouble", "coraldeal rig demo")
     demo.add_argument("--seconds", type=float, default=30.0, help="default: 30")
     demo.add_argument("--out", type=Path, help="the directory of results")
@@ -181,6 +189,13 @@
     return int(seen.whole != seen.asked)
 
 
+def scale(args: argparse.Namespace) -> int:
+    """What size costs."""
+    from coraldeal.rig.slopes import play
+
+    return play(args.only, args.quick, args.out)
+
+
 def demo(args: argparse.Namespace) -> int:
     """The main job: a node among servers that crawl, die and drain, seen live."""
     from coraldeal.rig.play import Play, default_folder
@@ -260,6 +275,7 @@
         "report": report,
         "serve-standins": serve_standins,
         "transfers": transfers,
+        "scale": scale,
         "demo": demo,
     }
     try:
