--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -617,7 +617,7 @@
             if entry is None or entry.condition is not Condition.READY or name in self.left_out:
                 continue
             if known is None or known.entry.born_us < entry.born_us:
-                # A restart is a new, cold server; a whole trip of each node at once could push it over: by chance half.
+                # A restart is a new, cold server; a whole trip of each node at once is too much: half of one.
                 warm_at = entry.born_us + self.settings.warm_after_us if entry.born_us else 0
                 known = Server(entry, entry.tag, mean_cap, warm_at, self._chance(), now)
                 known.place = f"0{crc32(f'{self.seed} {name}'.encode()):08x}{name}"
