--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
+from urllib.parse import quote
 
 import aiohttp
 
@@ -57,8 +58,11 @@
         read: Callable[[Any], ServerList],
         on_list: Callable[[ServerList], None],
         on_failure: Callable[[], None],
+        services: Sequence[str] = (),
     ) -> None:
         self.address = address
+        # The services whose servers are asked for; none named: all that the source tells at this address.
+        self.services = services
         self.read = read
         self.on_list = on_list
         self.on_failure = on_failure
@@ -111,6 +115,8 @@
         url = f"http://{self.address}{LIST_PATH}?watch=1"
         if self.version >= 0:
             url += f"&after={self.version}"
+        if self.services:
+            url += "&services=" + ",".join(quote(name, safe="") for name in self.services)
         why = "it ended"
         loop = asyncio.get_running_loop()
         due = loop.time() + ANSWER_WAIT
