--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -88,20 +88,90 @@
     )
     bulk.add_argument("--count", type=int, default=50, help="how many at once (default: 50)")
     bulk.add_argument("--megabytes", type=int, default=32, help="of each (default: 32)")
-    scale = add("scale", "what size costs", "coraldeal rig scale slopes --only change --out slopes.json")
-    scales = scale.add_subparsers(dest="scale", required=True)
+    scale_group = add(
+        "scale",
+        "what size costs: slopes, and a fleet on its control side",
+        "coraldeal rig scale run --nodes 1000",
+    )
+    scales = scale_group.add_subparsers(dest="scale", required=True)
     slopes = scales.add_parser("slopes", help="what one more of something costs, with the fitted line")
     slopes.add_argument(
         "--only", action="append", default=[], metavar="NAME", help="this one; may be repeated"
     )
     slopes.add_argument("--quick", action="store_true", help="small sizes, and no processes of their own")
     slopes.add_argument("--out", type=Path, help="write all measures there, JSON")
+    _scale_run(scales)
     demo = add("demo", "thirty seconds of a node among servers in trouble", "coraldeal rig demo")
     demo.add_argument("--seconds", type=float, default=30.0, help="default: 30")
     demo.add_argument("--out", type=Path, help="the directory of results")
     return made
 
 
+def _scale_run(commands: Any) -> None:
+    text = "hollow nodes beside real ones follow a source through its troubles"
+    made = commands.add_parser(
+        "run",
+        help=text,
+        description=text,
+        epilog=f"example: coraldeal rig scale run --nodes 1000 --seconds 60\n{STATUSES}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    made.add_argument(
+        "--nodes", type=int, default=200, help="hollow nodes, and as many servers (default: 200)"
+    )
+    made.add_argument("--real", type=int, default=8, help="real node processes under load (default: 8)")
+    made.add_argument("--seconds", type=float, default=24.0, help="of changes (default: 24)")
+    made.add_argument("--settle", type=float, default=6.0, help="until the end is judged (default: 6)")
+    made.add_argument("--seed", type=int, default=1)
+    made.add_argument("--rate", type=float, default=0.66, help="changes a second (default: 0.66)")
+    made.add_argument("--processes", type=int, default=0, help="of hollow nodes (default: one for 500 nodes)")
+    made.add_argument(
+        "--plant", default="", metavar="FAULT", help="drop, swap, stale or keep-gone: to be found"
+    )
+    made.add_argument("--troubles", metavar="A,B", help="only these, or none (default: all)")
+    made.add_argument(
+        "--limit-ms", type=float, default=0.0, help="worst from made to in force (default: any)"
+    )
+    made.add_argument("--out", type=Path, help="the directory of books and summary.json (default: a new one)")
+
+
+def scale(args: argparse.Namespace) -> int:
+    """What size costs."""
+    return scale_run(args) if args.scale == "run" else slopes(args)
+
+
+def scale_run(args: argparse.Namespace) -> int:
+    """The scale run; 1 where its verdict is not good."""
+    from coraldeal.rig.play import default_folder
+    from coraldeal.rig.scale.run import Options, play, told
+    from coraldeal.rig.scale.timeline import PLANTS, TROUBLES
+
+    if args.plant and args.plant not in PLANTS:
+        raise ExperimentError(f"--plant: {args.plant!r} is none of {', '.join(PLANTS)}")
+    named = TROUBLES if args.troubles is None else tuple(args.troubles.split(","))
+    named = () if named == ("none",) else named
+    if unknown := [name for name in named if name not in TROUBLES]:
+        raise ExperimentError(f"--troubles: {unknown[0]!r} is none of {', '.join(TROUBLES)}")
+    options = Options(
+        nodes=args.nodes,
+        real=args.real,
+        seconds=args.seconds,
+        seed=args.seed,
+        rate=args.rate,
+        processes=args.processes,
+        plant=args.plant,
+        # In their own order, whatever that of the option.
+        troubles=tuple(name for name in TROUBLES if name in named),
+        settle=args.settle,
+        limit_ms=args.limit_ms,
+        out=args.out or default_folder(Path("scale")),
+    )
+    summary = clock.run(play(options, lambda text: print(text, file=sys.stderr, flush=True)))
+    print(told(summary))
+    print(f"results: {options.out}")
+    return int(not summary["good"])
+
+
 def run(args: argparse.Namespace) -> int:
     """Play an experiment file."""
     from coraldeal.rig.play import Play, default_folder, progress_line
@@ -189,8 +259,8 @@
     return int(seen.whole != seen.asked)
 
 
-def scale(args: argparse.Namespace) -> int:
-    """What size costs."""
+def slopes(args: argparse.Namespace) -> int:
+    """What one more of something costs."""
     from coraldeal.rig.slopes import play
 
     return play(args.only, args.quick, args.out)
