--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -124,7 +124,7 @@
     made.add_argument("--settle", type=float, default=6.0, help="until the end is judged (default: 6)")
     made.add_argument("--seed", type=int, default=1)
     made.add_argument("--rate", type=float, default=0.66, help="changes a second (default: 0.66)")
-    made.add_argument("--processes", type=int, default=0, help="of hollow nodes (default: one for 500 nodes)")
+    made.add_argument("--processes", type=int, default=0, help="of hollow nodes (default: one for 250 nodes)")
     made.add_argument(
         "--plant", default="", metavar="FAULT", help="drop, swap, stale or keep-gone: to be found"
     )
--- a/coraldeal/rig/scale/books.py
+++ b/coraldeal/rig/scale/books.py
@@ -53,7 +53,8 @@
     number: int
     region: int
     zone: str
-    address: str
+    # The first is asked; the others are there for a watch that can go on elsewhere.
+    addresses: list[str]
     services: list[str]
 
 
@@ -63,6 +64,8 @@
     book: str
     seed: int
     nodes: list[HollowNode]
+    # Watches are opened so many a second.
+    opened_per_s: float = 200.0
     # A fault of a node itself.
     plant: Plant | None = None
 
--- a/coraldeal/rig/scale/fleet.py
+++ b/coraldeal/rig/scale/fleet.py
@@ -1,7 +1,7 @@
 """The fleet of a scale run: servers by service, zone and rack, and who follows what. No I/O.
 
 Drawn from a seed. Assumed, where the target says nothing: sizes of services fall with their rank to the
-power 0.6 (the largest of 670 has some 640 of 21,000 servers, the middle one 21); a node follows one, two or
+power 0.6 (the largest of 670 has some 630 of 21,000 servers, the middle one 21); a node follows one, two or
 three services in five, three and two cases of ten; how popular a service is falls alike and has nothing to
 do with its size.
 """
--- a/coraldeal/rig/scale/hollow.py
+++ b/coraldeal/rig/scale/hollow.py
@@ -32,8 +32,7 @@
 from coraldeal.rig.scale.process import Process, orders, start
 
 WORDS = {Condition.READY: "Ready", Condition.DRAINING: "Terminating", Condition.GONE: "Gone"}
-# Watches are opened so many a second in one process, and a list is waited for so long.
-OPENED_PER_S = 200
+# A list is waited for so long, in seconds.
 LIST_WAIT = 60.0
 
 
@@ -82,7 +81,7 @@
         self.rewatch_wait = REWATCH_LEAST
         self.draws = 0
         read = partial(read_list, offset_us=offset_us)
-        self.discovery = Discovery(job.address, read, self.take_list, self.list_failed, job.services)
+        self.discovery = Discovery(job.addresses[0], read, self.take_list, self.list_failed, job.services)
         self.servers = Servers(
             clock, config.conn_idle_us, config.connect_timeout_us, _nothing, self.may_send, Figures(())
         )
@@ -190,15 +189,14 @@
     plant = job.plant if job.plant is not None and job.plant.kind == "keep-gone" else None
     one = node_config(settings("hollow", "", 0, 1, "127.0.0.1:1"), {})
     nodes = []
-    for place, node in enumerate(job.nodes):
+    for node in job.nodes:
         seed = crc32(f"{job.seed} hollow {node.number}".encode())
         config = replace(one, seed=seed, settings=replace(one.settings, zone=node.zone))
         kept = plant.server if plant is not None and plant.follower == node.number else ""
         hollow = Hollow(node, config, offset_us, kept, one_there)
         nodes.append(hollow)
         hollow.discovery.follow()
-        if place % 20 == 19:
-            await asyncio.sleep(20 / OPENED_PER_S)
+        await asyncio.sleep(1 / job.opened_per_s)
     await asyncio.wait_for(all_there.wait(), LIST_WAIT)
     gc.collect()
     gc.freeze()
--- a/coraldeal/rig/scale/run.py
+++ b/coraldeal/rig/scale/run.py
@@ -42,9 +42,11 @@
 
 NODES_MOST, SECONDS_MOST, PROCESSES_MOST, REAL_MOST = 21_000, 600.0, 200, 64
 # Hollow nodes in one process, unless told otherwise.
-IN_PROCESS = 500
+IN_PROCESS = 250
 # What a run is taken to need, in megabytes: for a process, for a hollow node with its part of the source.
-PROCESS_MB, NODE_MB = 60.0, 0.35
+PROCESS_MB, NODE_MB = 50.0, 0.25
+# Watches are opened so many a second, over all processes.
+OPENED_PER_S = 1500
 # Descriptors that a process needs beside those of its connections.
 SPARE_FILES = 200
 # Inquiries a second at each real node.
@@ -197,6 +199,7 @@
         self.real: list[NodeProcess] = []
         self.real_used: list[float] = []
         self.standing: list[Standing] = []
+        self.topology = ""
         self.begin_us = self.stopped_us = 0
 
     async def play(self) -> dict[str, Any]:
@@ -240,12 +243,13 @@
             for place in fleet.places
         ]
         topology, own = await self._start_source()
+        self.topology = topology.name
         await self._start_real(own)
         self.say(f"source and {options.real} real nodes are up")
         await self._start_hollow(topology, own)
         self.say(f"{options.nodes} hollow nodes in {len(self.hollow)} processes hold their lists")
 
-    async def _start_source(self) -> tuple[Topology, dict[int, str]]:
+    async def _start_source(self) -> tuple[Topology, dict[int, list[str]]]:
         """Whom nodes ask; and the addresses of those that have one of their own, by number."""
         fleet, plant = self.fleet, self.timeline.plant
         doors = [DoorJob(region) for region in range(fleet.regions)]
@@ -259,18 +263,18 @@
         await self.source.start(job)
         ports = (await self.source.ready()).ports
         regions: dict[int, str] = {}
-        own: dict[int, str] = {}
+        own: dict[int, list[str]] = {}
         for door, port in zip(doors, ports, strict=True):
             address = f"127.0.0.1:{port}"
             if door.planted and plant is not None:
-                own[plant.follower] = address
+                own[plant.follower] = [address]
             elif door.node >= 0:
-                own[door.node] = address
+                own[door.node] = [address]
             else:
                 regions[door.region] = address
         return Direct(regions), own
 
-    async def _start_real(self, own: dict[int, str]) -> None:
+    async def _start_real(self, own: dict[int, list[str]]) -> None:
         program = Program(
             [sys.executable, "-m", "coraldeal", "serve", "--log-level", "warning"],
             ROOT,
@@ -281,7 +285,7 @@
             follower = self.fleet.followers[number]
             name = f"real-{place}"
             node = NodeProcess(name, place, 0, "", free_port(), self.options.out, program)
-            told = settings(name, f"z{follower.region:02d}", place, self.options.real, own[number])
+            told = settings(name, f"z{follower.region:02d}", place, self.options.real, own[number][0])
             told["listen"] = f"127.0.0.1:{node.port}"
             door = free_port()
             told["operator"] = f"127.0.0.1:{door}"
@@ -294,7 +298,7 @@
         for node in self.real:
             await node.until_ready()
 
-    async def _start_hollow(self, topology: Topology, own: dict[int, str]) -> None:
+    async def _start_hollow(self, topology: Topology, own: dict[int, list[str]]) -> None:
         fleet, count = self.fleet, len(self.hollow)
         hollow = fleet.followers[: len(fleet.places)]
         for place, child in enumerate(self.hollow):
@@ -303,12 +307,14 @@
                     follower.number,
                     follower.region,
                     f"z{fleet.places[follower.number].zone:02d}",
-                    own.get(follower.number) or topology.address(follower.region, follower.number),
+                    own.get(follower.number) or topology.addresses(follower.region, follower.number),
                     [fleet.services[service] for service in follower.services],
                 )
                 for follower in hollow[place::count]
             ]
-            await child.start(HollowJob(str(child.book), fleet.seed, nodes, self.timeline.plant))
+            opened = OPENED_PER_S / count
+            job = HollowJob(str(child.book), fleet.seed, nodes, opened, self.timeline.plant)
+            await child.start(job)
         for child in self.hollow:
             await child.ready()
 
@@ -405,7 +411,7 @@
         real_mb = [process_figures(node.process.pid)[1] for node in self.real if node.process is not None]
         return {
             "good": verdict.good,
-            "topology": "direct",
+            "topology": self.topology,
             "nodes": options.nodes,
             "real": options.real,
             "seconds": options.seconds,
@@ -416,6 +422,10 @@
             "zones": self.fleet.zones,
             "regions": self.fleet.regions,
             "changes": len(source.made_us),
+            "hollow_processes": len(self.hollow),
+            "cores": os.cpu_count(),
+            # Of the whole machine at the end: above its cores, times hold the wait for one.
+            "load_average": os.getloadavg()[0],
             "verdict": msgspec.to_builtins(verdict),
             "node": {
                 "cpu_part": hollow_cpu / lasted / options.nodes,
@@ -433,7 +443,7 @@
                 "wholes": source.wholes,
             },
             "real_nodes": {
-                # Servers' ends told to real nodes, and requests that came to servers: what drains are judged by.
+                # Drains and ends told to real nodes, and requests at servers: what drains are judged by.
                 "told_closed": sum(row.condition != "Ready" for row in source.told),
                 "arrivals": len(played.arrivals),
                 "asked": played.asked,
@@ -453,7 +463,8 @@
     lines = [
         f"{summary['nodes']} hollow nodes, {summary['real']} real, {summary['services']} services, "
         f"{summary['zones']} zones, {summary['regions']} regions, {summary['changes']} changes, "
-        f"{summary['topology']}",
+        f"{summary['topology']}; {summary['hollow_processes']} hollow processes, "
+        f"load average {summary['load_average']:.1f} on {summary['cores']} cores",
         f"  {'in force, ms':36} {'count':>9} {'p50':>9} {'p99':>9} {'worst':>9}",
     ]
     for label, spread in verdict["in_force"].items():
--- a/coraldeal/rig/scale/source.py
+++ b/coraldeal/rig/scale/source.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import Iterable
 from pathlib import Path
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import unquote, urlsplit
 
 from coraldeal.net.wire import LIST_PATH
 from coraldeal.rig.clock import now_us, sleep_until
@@ -142,17 +142,18 @@
         if target.path != LIST_PATH:
             self.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
             return
-        query = parse_qs(target.query)
-        # A comma within a name comes quoted a second time by nobody: names hold none.
-        named = tuple(name for text in query.get("services", []) for name in text.split(",") if name)
+        # Commas between names are plain, one within a name is quoted.
+        pairs = [pair.partition("=") for pair in target.query.split("&")]
+        query = {key: value for key, _, value in pairs}
+        named = tuple(unquote(name) for name in query.get("services", "").split(",") if name)
         self.services = tuple(sorted(set(named or self.door.job.services))) or None
         source = self.door.source
-        if query.get("watch") != ["1"]:
+        if query.get("watch") != "1":
             body = source.whole(self)
             self.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
             return
         self.watching = True
-        after = query.get("after", ["-1"])[0]
+        after = query.get("after", "-1")
         source.begin(self, int(after) if after.isdigit() else -1)
 
     def write(self, data: bytes) -> None:
--- a/coraldeal/rig/scale/topology.py
+++ b/coraldeal/rig/scale/topology.py
@@ -1,23 +1,42 @@
-"""Whom a node asks for its list: the one place that knows how lists travel from the source."""
+"""Whom a node asks for its list: the one place that knows how lists travel from the source. No I/O."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Protocol
+from zlib import crc32
 
 
 class Topology(Protocol):
     """How lists travel."""
 
-    def address(self, region: int, number: int) -> str:
-        """Whom a node of this region, with this number, asks."""
+    name: str
+
+    def addresses(self, region: int, number: int) -> list[str]:
+        """Whom a node of this region, with this number, asks: the first, then the others in their order."""
 
 
 class Direct:
     """Every node asks the source, at its region's own address."""
 
+    name = "direct"
+
     def __init__(self, doors: Mapping[int, str]) -> None:
         self.doors = doors
 
-    def address(self, region: int, number: int) -> str:
-        return self.doors[region]
+    def addresses(self, region: int, number: int) -> list[str]:
+        return [self.doors[region]]
+
+
+class Relays:
+    """Nodes ask the relays of their region, each in an order of its own, so that followers spread evenly."""
+
+    name = "relays"
+
+    def __init__(self, regions: Mapping[int, Sequence[str]]) -> None:
+        self.regions = regions
+
+    def addresses(self, region: int, number: int) -> list[str]:
+        # Drawn one by one: an order by the checksum of node and address is the same for half of the nodes.
+        left = list(self.regions[region])
+        return [left.pop(crc32(f"{number} {len(left)}".encode()) % len(left)) for _ in self.regions[region]]
