Ends of servers in the scale run meet real nodes that are sending there

A trial source that told a real node nothing of drains, though its book said so, passed: of 13 servers each node sent to three or five (its part of the tier, its own zone first), and none of the drained ones was among them. Real nodes are now told of few others and of a zone of their own, so that each sends to all; how many ends met a node that had just sent there is counted, and none at all is a fault.

--- a/coraldeal/rig/scale/judge.py
+++ b/coraldeal/rig/scale/judge.py
@@ -18,6 +18,8 @@
 
 # After a drain was told a request may still begin, as the rig's rules have it, with 50 ms of the rig's own.
 GRACE_US = 1_550_000
+# A node that sent to a server so lately would again.
+LATELY_US = 5_000_000
 ALL = "all"
 # Faults of one kind that are told one by one.
 TOLD_MOST = 10
@@ -52,6 +54,8 @@
     never: int
     # Nodes that lack a change at the end of the run.
     nodes_without: int
+    # Drains and ends told to a real node that had sent to that server just before.
+    drains_tested: int = 0
     # The worst of all, in words.
     worst: str = ""
 
@@ -122,6 +126,7 @@
         self.counts: Counter[str] = Counter()
         self.times: dict[str, list[int]] = defaultdict(list)
         self.pairs = self.never = self.nodes_without = 0
+        self.tested = 0
         self.worst_us = -1
         self.worst = ""
 
@@ -228,7 +233,10 @@
     def drains(
         self, told: Sequence[ToldRow], arrivals: Sequence[ArrivalRow], grace_us: int = GRACE_US
     ) -> None:
-        """No request begins at an address later than the grace after its server was told to drain or gone."""
+        """No request begins at an address later than the grace after its server was told to drain or gone.
+
+        How many ends were told to a node that had sent there just before is counted: they test it.
+        """
         # For each node and address: since when it is closed; 0: open.
         states: dict[tuple[int, str], list[tuple[int, int, str]]] = defaultdict(list)
         standing: dict[tuple[int, str], dict[str, int]] = defaultdict(dict)
@@ -243,6 +251,12 @@
             # What was told first counts; a replacement at the same address opens it again.
             closed = 0 if any(not since for since in here.values()) else min(here.values())
             states[key].append((row.at_us, closed, row.server))
+        came: dict[tuple[int, str], list[int]] = defaultdict(list)
+        for arrival in arrivals:
+            came[arrival.node, arrival.address].append(arrival.at_us)
+        for key, here_told in states.items():
+            for since in {closed: None for _, closed, _ in here_told if closed}:
+                self.tested += any(since - LATELY_US <= at <= since for at in came[key])
         for arrival in arrivals:
             latest = (0, 0, "")
             for state in states.get((arrival.node, arrival.address), ()):
@@ -260,5 +274,12 @@
             self.fault("late", f"in force later than {self.limit_us / 1000:g} ms: {self.worst}")
         in_force = {label: spread(times) for label, times in sorted(self.times.items())}
         return Verdict(
-            self.faults, dict(self.counts), in_force, self.pairs, self.never, self.nodes_without, self.worst
+            self.faults,
+            dict(self.counts),
+            in_force,
+            self.pairs,
+            self.never,
+            self.nodes_without,
+            self.tested,
+            self.worst,
         )
--- a/coraldeal/rig/scale/run.py
+++ b/coraldeal/rig/scale/run.py
@@ -51,6 +51,8 @@
 SPARE_FILES = 200
 # Inquiries a second at each real node.
 RATE_REAL = 10.0
+# With no more nodes than this each sends to all servers (`COMPANY` in coraldeal.balance).
+ALL_SENT = 4
 # After the last change every node has this long until it is judged.
 SETTLE = 6.0
 READY_WAIT, END_WAIT = 120.0, 60.0
@@ -282,10 +284,11 @@
         )
         for place in range(self.options.real):
             number = len(self.fleet.places) + place
-            follower = self.fleet.followers[number]
             name = f"real-{place}"
             node = NodeProcess(name, place, 0, "", free_port(), self.options.out, program)
-            told = settings(name, f"z{follower.region:02d}", place, self.options.real, own[number][0])
+            # Told of few others, each sends to all servers of its service, and from a zone of its own to none
+            # before the others: so the ends of servers meet nodes that send there.
+            told = settings(name, "front", place, min(self.options.real, ALL_SENT), own[number][0])
             told["listen"] = f"127.0.0.1:{node.port}"
             door = free_port()
             told["operator"] = f"127.0.0.1:{door}"
@@ -395,6 +398,8 @@
         judge.drains(told, played.arrivals)
         if self.real and not played.served:
             judge.fault("load", "no inquiry of the real nodes was served")
+        if self.real and "release" in self.options.troubles and not judge.tested:
+            judge.fault("load", "no real node was told of the end of a server that it was sending to")
         summary = self._summary(judge.verdict(), source, played, hollow)
         path = self.options.out / "summary.json"
         path.write_text(json.dumps(summary, indent=1), encoding="utf-8")
@@ -445,6 +450,7 @@
             "real_nodes": {
                 # Drains and ends told to real nodes, and requests at servers: what drains are judged by.
                 "told_closed": sum(row.condition != "Ready" for row in source.told),
+                "drains_tested": verdict.drains_tested,
                 "arrivals": len(played.arrivals),
                 "asked": played.asked,
                 "served": played.served,
@@ -480,6 +486,7 @@
         f"{source['wholes']} told the whole list",
         f"  real nodes: {real['served']} of {real['asked']} inquiries served, "
         f"{real['told_closed']} drains and ends told, "
+        f"{real['drains_tested']} of them of servers just sent to, "
         f"{real['cpu_part']:.2%} of a core each, {real['mb']:.0f} MB",
     ]
     lines += [f"FAULT {kind}: {text}" for kind, text in verdict["faults"]]
--- a/tests/rig/test_scale.py
+++ b/tests/rig/test_scale.py
@@ -311,11 +311,14 @@
 class Drains(unittest.TestCase):
     """One real node, one address."""
 
+    tested = 0
+
     def judged(self, told: list[tuple[float, str, str]], *arrivals: float, node: int = 0) -> dict[str, int]:
         judge = Judge(Journal(OfBooks.STANDING, [], []))
         rows = [ToldRow(0, int(at * SECOND), server, "127.0.0.1:1", said) for at, server, said in told]
         came = [ArrivalRow(node, int(at * SECOND), "127.0.0.1:1") for at in arrivals]
         judge.drains(rows, came)
+        self.tested = judge.verdict().drains_tested
         return judge.verdict().counts
 
     def test_within_the_grace_and_beyond(self) -> None:
@@ -343,6 +346,13 @@
         ]
         self.assertEqual(self.judged(told, 4.5, 4.6), {"drain": 1})
 
+    def test_what_tests_it(self) -> None:
+        """An end told to a node that had sent there lately."""
+        told = [(0.0, "s0", "Ready"), (10.0, "s0", "Terminating"), (12.0, "s0", "Gone")]
+        for arrivals, tested in (((6.0, 9.0), 1), ((4.0,), 0), ((10.5,), 0), ((), 0)):
+            self.judged(told, *arrivals)
+            self.assertEqual(self.tested, tested, arrivals)
+
     def test_nobody_told_of_it(self) -> None:
         self.assertEqual(self.judged([], 5.0), {})
 
@@ -488,8 +498,9 @@
         self.assertIn("verdict: good", ran.stdout)
         for name in TROUBLES:
             self.assertRegex(ran.stdout, rf"(?m)^  {name}\b")
-        # Drains are judged by something: real nodes were told of them, and served meanwhile.
+        # Drains are judged by something: nodes were told of the ends of servers that they were sending to.
         self.assertRegex(ran.stdout, r"[1-9]\d+ of \d+ inquiries served, [1-9]\d* drains and ends told")
+        self.assertRegex(ran.stdout, r"[1-9]\d* of them of servers just sent to")
 
     def test_planted_faults_are_found(self) -> None:
         kinds = {
