--- a/tests/rig/test_scale.py
+++ b/tests/rig/test_scale.py
@@ -9,15 +9,18 @@
 import sys
 import tempfile
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, ClassVar
 
+from coraldeal.config import node_config
 from coraldeal.rig import clock
 from coraldeal.rig.experiment import ExperimentError
 from coraldeal.rig.nodes import ROOT
 from coraldeal.rig.scale.books import (
     ArrivalRow,
     DoorJob,
+    HollowNode,
     ListedRow,
     NodeBook,
     SourceJob,
@@ -25,6 +28,7 @@
     ToldRow,
 )
 from coraldeal.rig.scale.fleet import RACK, WEIGHTS, draw_fleet, sequence_of, weight_of
+from coraldeal.rig.scale.hollow import Hollow, settings
 from coraldeal.rig.scale.judge import Cut, Journal, Judge, Verdict, spread
 from coraldeal.rig.scale.run import Options, play
 from coraldeal.rig.scale.source import Source
@@ -172,8 +176,8 @@
 
 
 def change(at_s: float, server: str, condition: str, sequence: int, label: str = "base") -> Change:
-    place = int(server.split(".")[0][1:])
-    return Change(int(at_s * SECOND), place, server, condition, sequence, 1.0, False, label)
+    place, weight = int(server.split(".")[0][1:]), weight_of(1.0, sequence)
+    return Change(int(at_s * SECOND), place, server, condition, sequence, weight, False, label)
 
 
 class OfBooks(unittest.TestCase):
@@ -458,6 +462,39 @@
             await held.read(1)
         self.assertEqual((await self.line(await self.ask("?watch=1&after=2")))[0], 2)
 
+    async def test_a_hollow_node(self) -> None:
+        """What is told is in its module and its book; of a whole list only what it did not hold so."""
+        address = f"127.0.0.1:{self.source.doors[0].port}"
+        config = node_config(settings("hollow", "z", 0, 1, address), {})
+        there = asyncio.Event()
+        node = Hollow(HollowNode(0, 0, "z", [address], ["a", "b, c"]), config, 0, "", there.set)
+        node.discovery.follow()
+        await asyncio.wait_for(there.wait(), 2)
+        self.source.make([0])
+        self.source.make([1, 2])
+        await self.until(lambda: len(node.book.rows) == 3)
+        # It misses what comes now, and takes up again from a version that the source never had.
+        self.source.doors[0].mute()
+        self.source.make([3])
+        node.discovery.version = 99
+        self.source.doors[0].reset()
+        await self.until(lambda: len(node.book.wholes) == 2)
+        book = node.close_book()
+        told = [(row.server, row.condition, row.sequence) for row in book.rows]
+        self.assertEqual(told, [(c.server, c.condition, c.sequence) for c in OfBooks.CHANGES])
+        self.assertEqual([number for _, number in book.wholes], [1, 5])
+        self.assertEqual((book.held, book.failures), ({"s1": ("Ready", 1), "s2": ("Ready", 1)}, 1))
+        judge = Judge(Journal(self.source.job.servers, OfBooks.CHANGES, self.source.made_us))
+        judge.node(book)
+        self.assertTrue(judge.verdict().good, judge.verdict().faults)
+        await node.discovery.close()
+        await node.servers.close()
+
+    async def until(self, true: Callable[[], bool]) -> None:
+        async with asyncio.timeout(3):
+            while not true():
+                await asyncio.sleep(0.01)
+
     def test_whom_a_node_asks(self) -> None:
         direct = Direct({0: "x:1", 1: "x:2"})
         self.assertEqual(direct.addresses(1, 7), ["x:2"])
