A comma within a service's name reaches the source quoted

The client library took the quoting of %2C back when it read the URL as text, so a service named 'b, c' was asked for as two.

--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -9,6 +9,7 @@
 from urllib.parse import quote
 
 import aiohttp
+from yarl import URL
 
 from coraldeal.net.wire import LIST_PATH, Objects, ServerList
 
@@ -126,7 +127,7 @@
             async with (
                 silence.timeout,
                 aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
-                session.get(url, allow_redirects=False) as answer,
+                session.get(URL(url, encoded=True), allow_redirects=False) as answer,
             ):
                 answer.raise_for_status()
                 self.silent = False
