Hollow nodes and the source of the scale run need no numpy

What they share with the drawing (changes, troubles, weights) stands in a module of its own; the drawing alone imports numpy, in the run's own process.

--- a/coraldeal/rig/scale/books.py
+++ b/coraldeal/rig/scale/books.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from coraldeal.rig.scale.timeline import Plant, Timeline
+from coraldeal.rig.scale.journal import Plant, Timeline
 
 T = TypeVar("T")
 
--- a/coraldeal/rig/scale/fleet.py
+++ b/coraldeal/rig/scale/fleet.py
@@ -21,10 +21,8 @@
 SERVICES_LEAST, ZONES_LEAST, REGIONS_LEAST = 8, 4, 3
 SKEW = 0.6
 FOLLOWED = (0.5, 0.3, 0.2)
-# Sizes of servers, as the list tells them. Six places behind the point are kept for the sequence.
+# Sizes of servers, as the list tells them, all multiples of a half (`weight_of`).
 WEIGHTS = (0.5, 1.0, 2.0, 4.0)
-STEP = 1_000_000
-SEQUENCES = 100_000
 # Services that are played with real servers have as near to this many as there are.
 PLAYED = 24
 
@@ -65,19 +63,6 @@
         return [place for place in self.places if place.service == service]
 
 
-def weight_of(base: float, sequence: int) -> float:
-    """A server's size as it is told: its smallest digits hold how often this server has changed.
-
-    So every state of a server differs from every other, and a list can be read back into the journal also
-    where relays, the wire and the module lie between.
-    """
-    return round(base * STEP + sequence) / STEP
-
-
-def sequence_of(weight: float) -> int:
-    return round(weight * STEP) % SEQUENCES
-
-
 def _zipf(count: int) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
     parts = np.arange(1, count + 1, dtype=np.float64) ** -SKEW
     return np.asarray(parts / parts.sum())
--- a/coraldeal/rig/scale/hollow.py
+++ b/coraldeal/rig/scale/hollow.py
@@ -28,7 +28,7 @@
 from coraldeal.net.wire import ServerList, read_list
 from coraldeal.rig.scale import books
 from coraldeal.rig.scale.books import HollowBook, HollowJob, ListedRow, NodeBook, Told
-from coraldeal.rig.scale.fleet import sequence_of
+from coraldeal.rig.scale.journal import sequence_of
 from coraldeal.rig.scale.process import Process, orders, start
 
 WORDS = {Condition.READY: "Ready", Condition.DRAINING: "Terminating", Condition.GONE: "Gone"}
--- a/coraldeal/rig/scale/judge.py
+++ b/coraldeal/rig/scale/judge.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from coraldeal.rig.scale.books import ArrivalRow, ListedRow, NodeBook, Standing, ToldRow
-from coraldeal.rig.scale.timeline import Change, generation
+from coraldeal.rig.scale.journal import Change, generation
 
 # After a drain was told a request may still begin, as the rig's rules have it, with 50 ms of the rig's own.
 GRACE_US = 1_550_000
--- a/coraldeal/rig/scale/run.py
+++ b/coraldeal/rig/scale/run.py
@@ -34,17 +34,18 @@
     Standing,
     Told,
 )
-from coraldeal.rig.scale.fleet import Fleet, draw_fleet, weight_of
+from coraldeal.rig.scale.fleet import Fleet, draw_fleet
 from coraldeal.rig.scale.hollow import settings
+from coraldeal.rig.scale.journal import OF_SOURCE, Timeline, weight_of
 from coraldeal.rig.scale.judge import Cut, Journal, Judge, Verdict
-from coraldeal.rig.scale.timeline import OF_SOURCE, TROUBLES, Timeline, draw_timeline, first_id
+from coraldeal.rig.scale.timeline import TROUBLES, draw_timeline, first_id
 from coraldeal.rig.scale.topology import Direct, Topology
 
 NODES_MOST, SECONDS_MOST, PROCESSES_MOST, REAL_MOST = 21_000, 600.0, 200, 64
 # Hollow nodes in one process, unless told otherwise.
 IN_PROCESS = 250
 # What a run is taken to need, in megabytes: for a process, for a hollow node with its part of the source.
-PROCESS_MB, NODE_MB = 50.0, 0.25
+PROCESS_MB, NODE_MB = 45.0, 0.2
 # Watches are opened so many a second, over all processes.
 OPENED_PER_S = 1500
 # Descriptors that a process needs beside those of its connections.
--- a/coraldeal/rig/scale/source.py
+++ b/coraldeal/rig/scale/source.py
@@ -21,8 +21,8 @@
 from coraldeal.net.wire import LIST_PATH
 from coraldeal.rig.clock import now_us, sleep_until
 from coraldeal.rig.scale.books import DoorJob, SourceBook, SourceJob, Standing, Told, ToldRow, read, write
+from coraldeal.rig.scale.journal import OF_SOURCE, Change, generation
 from coraldeal.rig.scale.process import Process, orders, start
-from coraldeal.rig.scale.timeline import OF_SOURCE, Change, generation
 
 # An empty line comes to each follower every 2 s; followers have their turns in so many slots.
 EMPTY_EVERY, SLOTS = 2.0, 20
--- a/coraldeal/rig/scale/timeline.py
+++ b/coraldeal/rig/scale/timeline.py
@@ -7,11 +7,11 @@
 
 from collections import Counter, defaultdict
 
-import msgspec
 import numpy as np
 
 from coraldeal.rig.draws import stream
-from coraldeal.rig.scale.fleet import RACK, SERVERS, Fleet, Place, weight_of
+from coraldeal.rig.scale.fleet import RACK, SERVERS, Fleet, Place
+from coraldeal.rig.scale.journal import OF_SOURCE, Change, Plant, Timeline, Window, weight_of
 
 SECOND = 1_000_000
 TENFOLD = 10
@@ -30,8 +30,6 @@
 }
 LOST_MOST = 3 * SECOND
 TROUBLES = tuple(WINDOWS)
-# Troubles of the source itself, or of the way to it.
-OF_SOURCE = ("lost", "silent", "apart")
 PLANTS = ("drop", "swap", "stale", "keep-gone")
 # A base event is a new setting of weight, a drain with a replacement, or a failure, in these parts; it makes
 # one, three or two changes.
@@ -44,59 +42,11 @@
 TRIES = 50
 
 
-class Change(msgspec.Struct, array_like=True):
-    """One change at the source. Its generation is its place in the journal and two."""
-
-    at_us: int
-    place: int
-    server: str
-    # Ready, Terminating, Gone.
-    condition: str
-    # How often this server has changed, itself included, and its size, which holds that too.
-    sequence: int
-    weight: float
-    # Whether its process has just started.
-    born: bool
-    # The trouble that it belongs to, or in whose window it falls; or base.
-    label: str
-
-
-class Window(msgspec.Struct, array_like=True):
-    """A trouble's time, and the region that it strikes; -1: all or none."""
-
-    name: str
-    from_us: int
-    to_us: int
-    region: int = -1
-
-
-class Plant(msgspec.Struct, array_like=True):
-    """A fault for one follower, which the run must find: which server, and which changes by their place."""
-
-    kind: str
-    follower: int
-    server: str
-    changes: list[int]
-
-
-class Timeline(msgspec.Struct):
-    """All that happens in a run."""
-
-    changes: list[Change]
-    windows: list[Window]
-    plant: Plant | None = None
-
-
 def first_id(fleet: Fleet, place: Place) -> str:
     """The server that stands there at the start."""
     return f"{fleet.services[place.service]}-{place.number}"
 
 
-def generation(index: int) -> int:
-    """The source's list begins at generation 1."""
-    return index + 2
-
-
 class _Draw:
     """Things that are to happen to places, and who is busy when."""
 
--- a/tests/rig/test_scale.py
+++ b/tests/rig/test_scale.py
@@ -27,20 +27,13 @@
     Standing,
     ToldRow,
 )
-from coraldeal.rig.scale.fleet import RACK, WEIGHTS, draw_fleet, sequence_of, weight_of
+from coraldeal.rig.scale.fleet import RACK, WEIGHTS, draw_fleet
 from coraldeal.rig.scale.hollow import Hollow, settings
+from coraldeal.rig.scale.journal import OF_SOURCE, Change, Timeline, sequence_of, weight_of
 from coraldeal.rig.scale.judge import Cut, Journal, Judge, Verdict, spread
 from coraldeal.rig.scale.run import Options, play
 from coraldeal.rig.scale.source import Source
-from coraldeal.rig.scale.timeline import (
-    LOST_MOST,
-    OF_SOURCE,
-    PLANTS,
-    TROUBLES,
-    Change,
-    Timeline,
-    draw_timeline,
-)
+from coraldeal.rig.scale.timeline import LOST_MOST, PLANTS, TROUBLES, draw_timeline
 from coraldeal.rig.scale.topology import Direct, Relays
 
 SECOND = 1_000_000
