--- a/coraldeal/rig/scale/run.py
+++ b/coraldeal/rig/scale/run.py
@@ -55,7 +55,7 @@
 # With no more nodes than this each sends to all servers (`COMPANY` in coraldeal.balance).
 ALL_SENT = 4
 # After the last change every node has this long until it is judged.
-SETTLE = 6.0
+SETTLE, SETTLE_MOST = 6.0, 60.0
 READY_WAIT, END_WAIT = 120.0, 60.0
 
 
@@ -84,6 +84,7 @@
             "--nodes": (self.nodes, 20, NODES_MOST),
             "--real": (self.real, 0, REAL_MOST),
             "--seconds": (self.seconds, 2, SECONDS_MOST),
+            "--settle": (self.settle, 0.5, SETTLE_MOST),
             "--rate": (self.rate, 0.01, 100),
             "--processes": (self.hollow_processes(), 1, min(PROCESSES_MOST - self.real - 2, self.nodes)),
         }
--- a/tests/rig/test_scale.py
+++ b/tests/rig/test_scale.py
@@ -152,6 +152,7 @@
         cases: list[tuple[dict[str, Any], str]] = [
             ({"nodes": 30_000}, "--nodes"),
             ({"seconds": 601}, "--seconds"),
+            ({"settle": 61}, "--settle"),
             ({"processes": 195}, "--processes"),
             ({"real": 65}, "--real"),
             ({"rate": 0}, "--rate"),
