--- a/coraldeal/rig/scale/source.py
+++ b/coraldeal/rig/scale/source.py
@@ -14,6 +14,7 @@
 import socket
 import sys
 import time
+from bisect import bisect_left
 from collections.abc import Iterable
 from pathlib import Path
 from urllib.parse import unquote, urlsplit
@@ -28,7 +29,7 @@
 EMPTY_EVERY, SLOTS = 2.0, 20
 EMPTY = b"1\r\n\n\r\n"
 HEAD_MOST = 64 * 1024
-BACKLOG = 4096
+BACKLOG, ACCEPTED = 4096, 64
 
 
 class Door:
@@ -53,7 +54,9 @@
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
         listening = self._bound(self.port)
-        self.server = await loop.create_server(lambda: Follower(self), sock=listening, backlog=BACKLOG)
+        self.server = await loop.create_server(lambda: Follower(self), sock=listening, backlog=ACCEPTED)
+        # So many may wait; fewer are taken in one turn of the loop, so that those taken are answered between.
+        listening.listen(BACKLOG)
 
     def shut(self) -> None:
         """New connections are refused."""
@@ -97,7 +100,7 @@
 class Follower(asyncio.Protocol):
     """One connection to a door."""
 
-    __slots__ = ("buffer", "door", "muted", "services", "transport", "watching")
+    __slots__ = ("buffer", "door", "muted", "services", "slot", "transport", "watching")
 
     def __init__(self, door: Door) -> None:
         self.door = door
@@ -105,6 +108,8 @@
         self.buffer = b""
         self.muted = False
         self.watching = False
+        # Those who are told an empty line in the same turn, once it watches.
+        self.slot: dict[Follower, None] = {}
         # None: all of them.
         self.services: tuple[str, ...] | None = None
 
@@ -181,6 +186,8 @@
             self.entries.setdefault(server.service, {})[server.server] = self._entry(first)
         # Encoded changes by their place in the journal.
         self.lines: list[bytes] = []
+        # Their places, by service.
+        self.journal: dict[str, list[int]] = {}
         self.followers: dict[str, dict[Follower, None]] = {}
         self.of_all: dict[Follower, None] = {}
         self.slots: list[dict[Follower, None]] = [{} for _ in range(SLOTS)]
@@ -221,8 +228,7 @@
         self.watches += 1
         follower.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         if 0 < after <= self.generation:
-            since = range(after - 1, len(self.lines))
-            self._tell_changes(follower, [index for index in since if self._follows(follower, index)])
+            self._tell_changes(follower, self._since(follower, after - 1))
         else:
             self.wholes += 1
             follower.write(_chunk(self.whole(follower)))
@@ -230,21 +236,28 @@
             self.followers.setdefault(name, {})[follower] = None
         if follower.services is None:
             self.of_all[follower] = None
-        self.slots[self.next_slot][follower] = None
+        follower.slot = self.slots[self.next_slot]
+        follower.slot[follower] = None
         self.next_slot = (self.next_slot + 1) % SLOTS
 
     def gone(self, follower: Follower) -> None:
         for name in follower.services or ():
             self.followers.get(name, {}).pop(follower, None)
         self.of_all.pop(follower, None)
-        for slot in self.slots:
-            slot.pop(follower, None)
+        follower.slot.pop(follower, None)
 
     def _service(self, index: int) -> str:
         return self.standing[self.job.timeline.changes[index].place].service
 
-    def _follows(self, follower: Follower, index: int) -> bool:
-        return follower.services is None or self._service(index) in follower.services
+    def _since(self, follower: Follower, first: int) -> list[int]:
+        """The changes from this one on that a follower is to have, in their order."""
+        if follower.services is None:
+            return list(range(first, len(self.lines)))
+        found = []
+        for name in follower.services:
+            of_service = self.journal.get(name, [])
+            found += of_service[bisect_left(of_service, first) :]
+        return sorted(found)
 
     def _tell_changes(self, follower: Follower, indices: list[int]) -> None:
         """One line of the newest state of each server, as one that watches anew is told."""
@@ -318,6 +331,7 @@
             change = self.job.timeline.changes[index]
             entry = self._entry(change)
             self.lines.append(entry)
+            self.journal.setdefault(self._service(index), []).append(index)
             self.made_us.append(now)
             of_service = self.entries[self._service(index)]
             of_service[change.server] = entry
