The bucket's floor is what the caps have room for while a node is calm

The floor by what was served is nothing where few trips tell of it, so a tenth of the arrivals stood.

While nothing waits and answers are quick (`calm`), the floor at the front is eight tenths of what the caps of the servers not at rest have room for by Little's law (caps over the slowest track's mean), or of the arrivals if that is less. Where servers are short of room inquiries are held, the node is not calm, and the floor is as before.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -98,8 +98,7 @@
         self.max_trips = max_trips
         # Latencies in microseconds: the median, the mean, and a slow one (nine in ten are faster).
         self.median = track.expected_time_us / 8
-        self.mean = self.median
-        self.answers = 0
+        self.mean, self.answers = self.median, 0
         self.slow = track.expected_time_us / 3
         # The mean when all is well.
         self.calm = track.expected_time_us / 6
@@ -249,10 +248,8 @@
         self.listed: dict[ServerId, Entry] = {}
         self.left_out: dict[ServerId, int] = {}
         self.servers: dict[ServerId, Server] = {}
-        self.calm = True
-        self.ask_after = 0
-        self.mean_size = 1.0
-        self.bound = BOUND_START
+        self.calm, self.ask_after = True, 0
+        self.mean_size, self.bound = 1.0, BOUND_START
         self.heard_until = host.now + SECOND
         self.inquiries: dict[InquiryId, Inquiry] = {}
         self.trips: dict[tuple[InquiryId, int], Trip] = {}
@@ -268,9 +265,7 @@
         self.seen = self.metered = self.sent = self.served = 0
         # Of all that came, of what was metered, of trips (of late, and usually), of metered ones served.
         self.seen_rate = self.arrival_rate = self.send_rate = self.served_rate = self.usual_rate = 0.0
-        self.rate = 1000 / SECOND
-        self.rise = 0.01
-        self.floor = 1 / SECOND
+        self.rate, self.rise, self.floor = 1000 / SECOND, 0.01, 1 / SECOND
         self.tokens = self.burst = 100.0
         # How long answers took of late, from any server, as a part of the time they have.
         self.pace = 0.0
@@ -975,6 +970,11 @@
             # Nor is less let in than was served a moment ago, the surer the more trips tell of it: holds that
             # end in a row must not shut a bucket that others still pass well.
             served = SERVED_PART * (1 - self.rise / RISE_MOST) * self.served_rate
+            # Nor, while nothing waits and answers are quick, less than its caps have room for: failures that
+            # say nothing of load would keep it at its floor for good, beside servers that are hardly used.
+            slowest = max((state.mean for state in self.tracks.values()), default=SECOND)
+            room = sum(s.cap for s in servers if s.rest_until <= now) / slowest if self.calm else 0.0
+            served = max(served, SERVED_PART * min(room, self.arrival_rate))
             self.floor = max(self.arrival_rate * 0.1, served, 1 / SECOND / self.settings.instances)
         self.rate = max(self.floor, self.rate)
         self.burst = max(8.0, self.rate * SECOND / 2)
