--- a/tests/test_bucket.py
+++ b/tests/test_bucket.py
@@ -43,8 +43,8 @@
         return deferred / 400
 
     def test_what_caps_have_room_for_is_let_in_while_nothing_waits(self) -> None:
-        # One in four fails, with an error of a tier behind, say: eight steps down for each, and one up for each
-        # answer, so the bucket went to its floor and stayed there: 0.81 were deferred.
+        # One in four fails, with an error of a tier behind, say: eight steps down for each, one up for
+        # each answer, so the bucket went to its floor and stayed there: 0.81 were deferred.
         self.assertLess(self.deferred_part(fail_every=4), 0.2)
 
     def test_what_hardly_fails_is_let_in(self) -> None:
