--- a/coraldeal/__main__.py
+++ b/coraldeal/__main__.py
@@ -1,4 +1,6 @@
-"""Command line: `coraldeal serve` is one node, `coraldeal rig` the experiments on stand-ins."""
+"""Command line: `coraldeal serve` is one node, `coraldeal relay` passes its list on to many nodes, `coraldeal
+rig` the experiments on stand-ins.
+"""
 
 from __future__ import annotations
 
@@ -90,6 +92,26 @@
         oldest = own.connections.oldest_seconds
         age = f"to an age of {oldest:g} s at the most" if oldest else "however old"
         print(f"connections to servers: used again {learned}, {age}")
+        if own.lists.sources:
+            asked = f"services {', '.join(own.lists.services)}" if own.lists.services else "all services"
+            print(f"list: from {', '.join(own.lists.sources)}, {asked}; discovery is not asked")
+    return 0
+
+
+def relay(args: argparse.Namespace) -> int:
+    """Run one relay until SIGTERM."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM,))
+    from coraldeal.relay.server import Relay
+
+    set_up(args.log_level)
+    own = _own(args)
+    if own is None:
+        raise SettingsError("no operator's file: give --operator FILE, with a table [relay]")
+
+    async def run() -> None:
+        await Relay(own.relay, os.urandom(8).hex()).run()
+
+    asyncio.run(run())
     return 0
 
 
@@ -120,18 +142,20 @@
     commands = parser.add_subparsers(dest="command", required=True)
     for name, function, text in (
         ("serve", serve, "run one node until SIGTERM"),
+        ("relay", relay, "pass the list on from its source to many nodes, until SIGTERM"),
         ("check", check, "read a configuration and say what it means"),
         ("version", version, "print the version"),
         ("rig", version, "experiments on stand-ins of callers and servers: coraldeal rig --help"),
     ):
         command = commands.add_parser(name, help=text)
         command.set_defaults(function=function)
-        if function is not version:
+        if function in (serve, check):
             command.add_argument(
                 "--config", default=os.environ.get("PROXY_CONFIG"), help="JSON file (default: $PROXY_CONFIG)"
             )
+        if function is not version:
             command.add_argument("--operator", help="the operator's own file, TOML (default: none)")
-        if function is serve:
+        if function in (serve, relay):
             levels = ("debug", "info", "warning", "error")
             command.add_argument("--log-level", choices=levels, default="info", help="default: info")
     args = parser.parse_args(argv)
--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -227,7 +227,7 @@
     peers: tuple[tuple[str, int], ...] | None = None
 
 
-def _address(text: str, key: str) -> tuple[str, int]:
+def read_address(text: str, key: str) -> tuple[str, int]:
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdigit() or int(port) > 65535:
         raise SettingsError(f"setting {key} is not of the form address:port: {text!r}")
@@ -290,7 +290,7 @@
     addresses = []
     for place, text in enumerate(part.items("nodes")):
         key = f"peers.nodes[{place}]"
-        host, port = _address(text if isinstance(text, str) else repr(text), key)
+        host, port = read_address(text if isinstance(text, str) else repr(text), key)
         try:
             # As a datagram's sender is told, to be compared with it.
             addresses.append((str(ipaddress.IPv4Address(host)), port))
@@ -311,9 +311,9 @@
         told = {key: env.get(f"PROXY_{key.upper()}") for key in ("name", "listen", "discovery", "operator")}
         values.update({key: value for key, value in told.items() if value})
     top = _Reader(values)
-    host, port = _address(top.text("listen"), "listen")
+    host, port = read_address(top.text("listen"), "listen")
     if top.has("discovery"):
-        _address(top.text("discovery"), "discovery")
+        read_address(top.text("discovery"), "discovery")
     settings = top.part("settings", DEFAULTS)
     bounds = settings.part("bounds")
     peers, decided = _peers(top, _settings(settings, TRACK_DEFAULTS))
@@ -324,7 +324,7 @@
         name=top.text("name") if top.has("name") else "node",
         host=host,
         port=port,
-        operator=_address(top.text("operator"), "operator") if top.has("operator") else None,
+        operator=read_address(top.text("operator"), "operator") if top.has("operator") else None,
         discovery=top.text("discovery") if top.has("discovery") else None,
         seed=_seed(top),
         sockets=sockets,
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 from urllib.parse import quote
+from zlib import crc32
 
 import aiohttp
 from yarl import URL
@@ -30,6 +31,8 @@
 # How long a connection may take to come up: one that does not must leave time for a further try within
 # these 6 s, and where lists are pushed within the grace of a drain that is told as the list is back.
 CONNECT_WAIT = 0.6
+# All followers of a relay lose it in one moment; each goes on at another after a part of this, by chance.
+GO_ON_WITHIN = 0.5
 
 
 class _Silence:
@@ -60,8 +63,14 @@
         on_list: Callable[[ServerList], None],
         on_failure: Callable[[], None],
         services: Sequence[str] = (),
+        sources: Sequence[str] = (),
+        seed: str = "",
     ) -> None:
-        self.address = address
+        # Several sources of the same list, in an order of this node's own: a watch that ends goes on at the
+        # next one, from the version held. None: there is the one address.
+        self.sources = sorted(sources, key=lambda source: crc32(f"{seed} {source}".encode()))
+        self.seed = seed
+        self.address = self.sources[0] if self.sources else address
         # The services whose servers are asked for; none named: all that the source tells at this address.
         self.services = services
         self.read = read
@@ -99,17 +108,29 @@
     async def _watch(self) -> None:
         # A watch that fell silent is opened anew at once, each time: it took `SILENCE`, which spares
         # discovery enough, and with a wait on top the changes that it missed came too late. So is, once, a
-        # call that waited long behind a silence and failed. Any other end is told.
+        # call that waited long behind a silence and failed. Any other end is told; where there are several
+        # sources, when each of them has failed.
         loop = asyncio.get_running_loop()
-        again = True
+        again, failed = True, 0
         while again:
-            began = loop.time()
+            began, version = loop.time(), self.version
             fell_silent = await self._fell_silent()
             again = fell_silent or (self.silent and loop.time() - began > WAITED_LONG)
             self.silent = fell_silent
+            if self.sources:
+                failed = 0 if fell_silent or self.version != version else failed + 1
+                again = failed < len(self.sources)
+                await self._go_on()
         # From the loop, when this watch is done, so that the next one may begin at once.
         loop.call_soon(self.on_failure)
 
+    async def _go_on(self) -> None:
+        """To the next source, spread by chance: whoever followed the one before goes on too."""
+        assert self.address is not None
+        chance = crc32(f"{self.seed} {self.address} {self.version}".encode()) / 2**32
+        self.address = self.sources[(self.sources.index(self.address) + 1) % len(self.sources)]
+        await asyncio.sleep(GO_ON_WITHIN * chance)
+
     async def _fell_silent(self) -> bool:
         """One watch, to its end; whether that was silence."""
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_WAIT)
@@ -127,6 +148,7 @@
             async with (
                 silence.timeout,
                 aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+                # As it stands: a comma within a name must not become one between two.
                 session.get(URL(url, encoded=True), allow_redirects=False) as answer,
             ):
                 answer.raise_for_status()
@@ -176,7 +198,9 @@
         try:
             return read(text)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            # The list held stays, and the whole of it is asked for next: changes may have been missed.
-            self.version = -1
+            # The list held stays, and the whole of it is asked for next: changes may have been missed. Where
+            # another source may be behind this one, only what changed since: its whole list may be older.
+            if not self.sources:
+                self.version = -1
             why = f"unreadable, {type(error).__name__}: {error}, in {text[:60]!r}"
             raise aiohttp.ClientPayloadError(why) from None
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -9,7 +9,7 @@
 import os
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
@@ -104,7 +104,9 @@
         # Unix time less this is the node's clock.
         self.offset_us = time.time_ns() // 1000 - clock()
         read = partial(read_list, offset_us=self.offset_us)
-        self.discovery = Discovery(config.discovery, read, self.take_list, self._list_failed)
+        self.discovery = Discovery(
+            config.discovery, read, self.take_list, self._list_failed, *self._lists(own), str(config.seed)
+        )
         self.host = LoopHost(self.inquiries, self.discovery)
         self.balancer = Balancer(self.host, settings, config.seed)
         self.host.balancer = self.inquiries.balancer = self.balancer
@@ -123,6 +125,10 @@
 
         return Ages(self.config.conn_idle_us, own.connections.risk), own.connections.oldest_seconds
 
+    def _lists(self, own: OperatorFile | None) -> tuple[Sequence[str], Sequence[str]]:
+        """The services asked for and the sources, where the operator's own file names them."""
+        return ((), ()) if own is None else (own.lists.services, own.lists.sources)
+
     async def run(self) -> None:
         """The node's whole life."""
         loop = asyncio.get_running_loop()
@@ -199,7 +205,7 @@
             self.figures.know(self.callers.tracks)
             self.inquiries.irreversible = _irreversible(new.settings)
         self.servers.go_by(new.conn_idle_us, new.connect_timeout_us)
-        if new.discovery != old.discovery:
+        if new.discovery != old.discovery and not self.discovery.sources:
             self.discovery.move(new.discovery)
         if not new.settings.list_is_asked:
             self.discovery.follow()
@@ -257,7 +263,7 @@
 
     def can_serve(self) -> bool:
         """Whether this process answers inquiries now: it takes them, and has been told of servers."""
-        return self.phase is Phase.READY and (self.has_list or self.config.discovery is None)
+        return self.phase is Phase.READY and (self.has_list or self.discovery.address is None)
 
     def _is_ready(self) -> bool:
         return self.phase is Phase.READY
