--- a/coraldeal/relay/link.py
+++ b/coraldeal/relay/link.py
@@ -133,9 +133,13 @@
         silence = asyncio.timeout(None)
         why = "it ended"
         try:
-            if self.state.version < 0 or self.asks_whole:
-                await self._whole(address)
-            await self._watch(address, silence)
+            after = self.state.version
+            if after < 0:
+                # Here and now alone: another relay may be behind this one.
+                after = max(0, await self._whole(address) - BACKFILL)
+            elif self.asks_whole:
+                after = await self._whole(address)
+            await self._watch(address, silence, after)
         except Unusable as error:
             why = str(error)
         except (OSError, TimeoutError, aiohttp.ClientError) as error:
@@ -151,8 +155,8 @@
         log.log(level, "source lost", extra={"pairs": pairs})
         return silence.expired()
 
-    async def _whole(self, address: str) -> None:
-        """The whole list, asked for where nothing is held or the source must stand by an older word."""
+    async def _whole(self, address: str) -> int:
+        """The whole list, where nothing is held or the source must stand by an older word; its generation."""
         self.asks_whole = False
         async with asyncio.timeout(LIST_WAIT), _asked(list_url(address, self.services)) as answer:
             text = bytearray()
@@ -161,11 +165,9 @@
                 if len(text) > OBJECT_MOST:
                     raise Unusable(f"an object of more than {OBJECT_MOST} bytes")
             self._take(bytes(text), True, -1, _age_us(answer))
+        return self.state.version
 
-    async def _watch(self, address: str, silence: asyncio.Timeout) -> None:
-        after = self.state.version
-        if not self.backfilled:
-            after = max(0, after - BACKFILL)
+    async def _watch(self, address: str, silence: asyncio.Timeout, after: int) -> None:
         loop = asyncio.get_running_loop()
         objects = Objects()
         fresh = True
@@ -194,7 +196,7 @@
         try:
             set_back = self.state.take(told, fresh, after)
         except OutOfOrder:
-            self.asks_whole = fresh and after >= 0
+            self.asks_whole = fresh and after >= self.state.version
             raise
         if set_back:
             pairs = {"source": self.route.address, "version": told.version, "epoch": self.state.epoch}
--- a/coraldeal/relay/state.py
+++ b/coraldeal/relay/state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from bisect import bisect_left
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -17,6 +18,8 @@
 # How far behind its first list a relay asks for the changes, so that it knows for those who come by then what
 # they have missed: 50 minutes at 57,000 changes a day.
 BACKFILL = 2_000
+# Of how many objects that came folded the ends are kept, before the floor goes up.
+GAPS_MOST = 4_096
 # For how many different places in history one text is kept beside the newest state.
 TEXTS_MOST = 16
 
@@ -39,6 +42,10 @@
     whole: bool
     lines: list[Line]
 
+    def there(self) -> dict[str, None]:
+        """The names that are there, whatever is told of their past."""
+        return {line.name: None for line in self.lines if not line.gone}
+
 
 class Unusable(ValueError):
     """What came from a source cannot be taken; the text says what and where."""
@@ -56,6 +63,11 @@
     return json.dumps(item, separators=(",", ":")).encode()
 
 
+def _gone(text: bytes) -> bytes:
+    """The tombstone of an entry of which no more is told."""
+    return _text({**json.loads(text), "lifecycle": GONE})
+
+
 def _line(item: dict[str, Any]) -> Line:
     service = item.get("service", "")
     if not isinstance(service, str):
@@ -63,6 +75,18 @@
     return Line(str(item["instanceId"]), service, item["lifecycle"] == GONE, _text(item))
 
 
+def _last(lines: list[Line]) -> list[Line]:
+    """Of each name the last line, and before it that it is gone from where else it was."""
+    last = {line.name: line for line in lines}
+    if len(last) == len(lines):
+        return lines
+    kept = {(line.name, line.service): line for line in lines}
+    return [
+        line if line.gone or line is last[line.name] else line._replace(gone=True, text=_gone(line.text))
+        for line in kept.values()
+    ]
+
+
 def read_told(text: bytes) -> Told:
     """One object of a source; raises Unusable for one that a node could not read either."""
     try:
@@ -71,7 +95,7 @@
         version = values["generation"]
         if not isinstance(version, int) or isinstance(version, bool) or version < 0:
             raise ValueError(f"generation is no whole number: {version!r}")
-        return Told(version, bool(values["reset"]), [_line(item) for item in values["instances"]])
+        return Told(version, bool(values["reset"]), _last([_line(item) for item in values["instances"]]))
     except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as error:
         raise Unusable(f"unreadable, {type(error).__name__}: {error}, in {text[:60]!r}") from None
 
@@ -107,6 +131,12 @@
         for interest in self.interests:
             interest.changed = change.version
 
+    def date_back(self, version: int) -> None:
+        """Nothing here has changed since."""
+        self.changes = {name: change._replace(version=version) for name, change in self.changes.items()}
+        self.changed = min(self.changed, version)
+        self.texts.clear()
+
     def drop(self, name: str) -> None:
         """Forget a tombstone."""
         self.changes.pop(name, None)
@@ -169,7 +199,8 @@
     """The list of one source at its newest generation."""
 
     __slots__ = (
-        "doubt", "entries", "epoch", "floor", "interests", "services", "told_at", "tombstones", "version",
+        "doubt", "entries", "epoch", "floor", "gaps", "interests", "services", "told_at", "tombstones",
+        "version",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -178,6 +209,8 @@
         self.epoch = 0
         # From here on changes can be told; before it only a whole list.
         self.floor = 0
+        # From which generation to which one object came, the steps between them unknown.
+        self.gaps: list[tuple[int, int]] = []
         # A generation up to this one may be of the history before: who comes with it gets a whole list.
         self.doubt = 0
         self.services: dict[str, Service] = {}
@@ -204,7 +237,7 @@
         if self.version < 0:
             self.floor = told.version
         elif told.version < self.version or (told.version == self.version and self._differs(told)):
-            if fresh and told.whole:
+            if fresh and told.whole and (after < 0 or after >= self.version):
                 self._begin_anew(told.version)
                 self._fold(told)
                 return True
@@ -213,60 +246,75 @@
         if told.whole:
             self._fold(told)
             return False
-        # Told again from before the generation held: the floor goes down to there.
-        again = fresh and 0 <= after < self.version
-        for line in told.lines:
-            self._put(line, told.version, again)
-        self.version = told.version
-        if again:
-            self.floor = min(self.floor, after)
-        self._bury()
+        # Asked for from before the first list: the floor goes down to there, for all else is as it was then.
+        backfill = fresh and 0 <= after < self.version == self.floor
+        if backfill:
+            self.floor = after
+            for service in self.services.values():
+                service.date_back(after)
+        self._put_all(told, backfill)
         return False
 
     def _differs(self, told: Told) -> bool:
-        names: dict[str, None] = {}
+        there = told.there()
         for line in told.lines:
             held = self.entries.get(line.name)
-            names[line.name] = None
-            if line.gone != (held is None) or (
-                held is not None and (held.name != line.service or held.changes[line.name].text != line.text)
-            ):
+            if line.gone:
+                if held is not None and line.name not in there:
+                    return True
+            elif held is None or held.name != line.service or held.changes[line.name].text != line.text:
                 return True
-        return told.whole and any(name not in names for name in self.entries)
+        return told.whole and any(name not in there for name in self.entries)
 
     def _begin_anew(self, version: int) -> None:
         self.epoch += 1
         self.doubt = max(self.doubt, self.version)
         self.floor = self.version = version
+        self.gaps.clear()
         self.entries.clear()
         self.tombstones.clear()
         for service in self.services.values():
             service.changes.clear()
             service.texts.clear()
             service.changed = -1
+        for interest in self.interests.values():
+            interest.changed = version
 
     def _fold(self, told: Told) -> None:
         """A whole list: what it differs in has changed, what it lacks is gone."""
-        there = {line.name: None for line in told.lines if not line.gone}
+        there = told.there()
         for name in [name for name in self.entries if name not in there]:
             self._remove(name, told.version, None)
+        self._put_all(told, again=False)
+
+    def _put_all(self, told: Told, again: bool) -> None:
+        there = told.there()
+        if told.lines and 0 <= self.version < told.version - 1:
+            # What came and went in between is not known here, nor perhaps where this comes from.
+            self.gaps.append((self.version, told.version))
+            if len(self.gaps) > GAPS_MOST:
+                self.floor = max(self.floor, self.gaps.pop(0)[1])
+        moved = {line.name: None for line in told.lines if line.gone and line.name in there}
         for line in told.lines:
-            self._put(line, told.version, again=False)
+            self._put(line, told.version, again, line.name in moved)
         self.version = told.version
         self._bury()
 
-    def _put(self, line: Line, version: int, again: bool) -> None:
+    def _put(self, line: Line, version: int, again: bool, moved: bool) -> None:
+        """One line; `moved`: the same object tells that it is gone from one service and in another one."""
         held = self.entries.get(line.name)
         if line.gone:
-            if held is not None:
+            if held is not None and (not moved or held.name == line.service):
                 self._remove(line.name, version, line.text)
-            else:
+            if held is None or (held.name != line.service and line.service):
                 service = self._service(line.service)
-                if again or line.name not in service.changes:
+                # Also where a tombstone is there: it may have been back, and gone again, in what was folded.
+                if again or version > self.version or line.name not in service.changes:
                     self._entomb(service, line.name, version, line.text)
             return
         if held is not None and held.name == line.service and held.changes[line.name].text == line.text:
-            if again:
+            if again or moved:
+                # Also where nothing is new about it: who is told that it is gone elsewhere must be told this.
                 held.put(line.name, Change(version, False, line.text))
                 self._all_changed(version)
             return
@@ -283,7 +331,7 @@
         """Gone; the tombstone is the source's own word, or the entry with another lifecycle."""
         service = self.entries.pop(name)
         if text is None:
-            text = _text({**json.loads(service.changes[name].text), "lifecycle": GONE})
+            text = _gone(service.changes[name].text)
         self._entomb(service, name, version, text)
 
     def _entomb(self, service: Service, name: str, version: int, text: bytes) -> None:
@@ -322,7 +370,7 @@
             for name in key:
                 parts[name].interests[interest] = None
         interest.followers += 1
-        whole = after < max(self.floor, self.doubt)
+        whole = after < max(self.floor, self.doubt) or self._is_lost(after)
         return Cursor(interest, after, self.epoch if after >= 0 else -1, whole)
 
     def leave(self, cursor: Cursor) -> None:
@@ -346,16 +394,24 @@
         if self.is_ahead(cursor) and cursor.version > version:
             cursor.epoch = -1
 
+    def _is_lost(self, version: int) -> bool:
+        """Whether it lies within what came here folded, so that it may have heard what is not known here."""
+        at = bisect_left(self.gaps, (version, 0)) - 1
+        return at >= 0 and version < self.gaps[at][1]
+
     def has_news(self, cursor: Cursor) -> bool:
         if cursor.epoch != self.epoch:
             return self.version >= 0
         if cursor.version > self.version:
             return False
-        return cursor.whole or cursor.interest.changed > cursor.version
+        if cursor.whole or cursor.interest.changed > cursor.version:
+            return True
+        return bool(self.gaps) and self._is_lost(cursor.version)
 
     def news(self, cursor: Cursor) -> bytes:
         """What it has not been told, in one object that counts as told from now on."""
-        whole = cursor.whole or cursor.epoch != self.epoch or cursor.version < self.floor
+        version = cursor.version
+        whole = cursor.whole or cursor.epoch != self.epoch or version < self.floor or self._is_lost(version)
         text = self._told(cursor.interest, -1 if whole else cursor.version)
         cursor.version, cursor.epoch, cursor.whole = self.version, self.epoch, False
         return text
--- /dev/null
+++ b/tests/test_relay_state.py
@@ -0,0 +1,661 @@
+"""What a relay holds and tells, without sockets: scenarios, and seeded days of changes, moves, cuts and resets."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+from unittest import mock
+from zlib import crc32
+
+from coraldeal.relay import state as state_module
+from coraldeal.relay.route import OLD, RETRY_MOST, Route
+from coraldeal.relay.state import Cursor, OutOfOrder, State, Unusable, read_told
+from tests.standins import entry, server_list
+
+
+def of(service: str, name: str, lifecycle: str = "Ready", **more: Any) -> dict[str, Any]:
+    return {**entry(name, "127.0.0.1:1", lifecycle), "service": service, **more}
+
+
+def take(state: State, told: dict[str, Any], fresh: bool = False, after: int = -1) -> bool:
+    return state.take(read_told(json.dumps(told).encode()), fresh, after)
+
+
+def told(state: State, cursor: Cursor) -> tuple[int, bool, list[str]] | None:
+    """What a follower is told now: generation, reset, and names with a sign for those that are gone."""
+    if not state.has_news(cursor):
+        return None
+    values = json.loads(state.news(cursor))
+    names = [
+        ("-" if item["lifecycle"] == "Gone" else "") + item["instanceId"] for item in values["instances"]
+    ]
+    return values["generation"], values["reset"], names
+
+
+class StateCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = State()
+        take(self.state, server_list(10, True, of("a", "a1"), of("a", "a2"), of("b", "b1")))
+
+
+class Followers(StateCase):
+    def test_only_what_was_asked_for(self) -> None:
+        of_a, of_b = self.state.follow(["a"], -1), self.state.follow(["b", "b"], -1)
+        every = self.state.follow([], -1)
+        self.assertEqual(told(self.state, of_a), (10, True, ["a1", "a2"]))
+        self.assertEqual(told(self.state, of_b), (10, True, ["b1"]))
+        self.assertEqual(told(self.state, every), (10, True, ["a1", "a2", "b1"]))
+        take(self.state, server_list(11, False, of("b", "b2")))
+        self.assertIsNone(told(self.state, of_a))
+        self.assertEqual(told(self.state, of_b), (11, False, ["b2"]))
+        self.assertEqual(told(self.state, every), (11, False, ["b2"]))
+        # A service that has nothing yet, and one that nobody asks for any more.
+        later = self.state.follow(["later", "a"], 11)
+        take(self.state, server_list(12, False, of("later", "x")))
+        self.assertEqual(told(self.state, later), (12, False, ["x"]))
+        self.state.leave(of_b)
+        self.state.leave(self.state.follow(["never"], 3))
+        self.assertEqual((list(self.state.services), len(self.state.interests)), (["a", "b", "later"], 3))
+
+    def test_a_change_is_encoded_once_for_all_who_ask_for_the_same(self) -> None:
+        cursors = [self.state.follow(("a", "b") if i % 2 else ("b", "a"), 10) for i in range(20)]
+        with mock.patch.object(state_module, "_text", wraps=state_module._text) as encoded:
+            take(self.state, server_list(11, False, of("a", "a1", "Terminating")))
+            texts = [self.state.news(cursor) for cursor in cursors]
+        self.assertEqual(encoded.call_count, 1)
+        self.assertTrue(all(text is texts[0] for text in texts))
+
+    def test_fields_not_known_here_go_on_unchanged(self) -> None:
+        odd = of("a", "a3", weight=1e-7, note={"x": [1, None, "é"]}, startedAtMs=12345678901234)
+        take(self.state, server_list(11, False, odd))
+        values = json.loads(self.state.news(self.state.follow(["a"], 10)))
+        self.assertEqual(values["instances"], [odd])
+
+    def test_what_was_not_taken_is_folded(self) -> None:
+        slow = self.state.follow(["a"], 10)
+        for version in range(11, 500):
+            take(self.state, server_list(version, False, of("a", "a1", cell=version), of("b", f"b{version}")))
+        take(self.state, server_list(500, False, of("a", "a2", "Gone")))
+        text = self.state.news(slow)
+        self.assertEqual([item["cell"] for item in json.loads(text)["instances"]], [0, 499])
+        self.assertEqual([item["lifecycle"] for item in json.loads(text)["instances"]], ["Gone", "Ready"])
+        self.assertFalse(self.state.has_news(slow))
+
+    def test_a_beat_tells_who_has_no_news_the_generation(self) -> None:
+        quiet = self.state.follow(["a"], 10)
+        self.assertEqual(self.state.beat(quiet), b"\n")
+        take(self.state, server_list(11, False, of("b", "b2")))
+        self.assertFalse(self.state.has_news(quiet))
+        self.assertEqual(
+            json.loads(self.state.beat(quiet)), {"generation": 11, "reset": False, "instances": []}
+        )
+        self.assertEqual(self.state.beat(quiet), b"\n")
+
+    def test_one_that_moves_to_another_service_is_gone_from_the_old(self) -> None:
+        old, new, both = (self.state.follow(services, 10) for services in (["a"], ["b"], ["a", "b"]))
+        take(self.state, server_list(11, False, of("b", "a1")))
+        self.assertEqual(told(self.state, old), (11, False, ["-a1"]))
+        self.assertEqual(told(self.state, new), (11, False, ["a1"]))
+        self.assertEqual(told(self.state, both), (11, False, ["-a1", "a1"]))
+        # Its end may come without the service's name.
+        take(self.state, server_list(12, False, entry("a1", "127.0.0.1:1", "Gone")))
+        self.assertEqual(told(self.state, new), (12, False, ["-a1"]))
+
+
+class Floors(StateCase):
+    def test_below_the_floor_only_the_whole_list_of_its_services(self) -> None:
+        take(self.state, server_list(11, False, of("a", "a3")))
+        self.assertEqual(told(self.state, self.state.follow(["a"], 10)), (11, False, ["a3"]))
+        self.assertEqual(told(self.state, self.state.follow(["a"], 9)), (11, True, ["a1", "a2", "a3"]))
+
+    def test_tombstones_are_bounded_and_raise_the_floor(self) -> None:
+        behind, near = self.state.follow(["a"], 10), self.state.follow(["a"], 13)
+        with mock.patch.object(state_module, "TOMBSTONES_MOST", 3):
+            for version in range(11, 17):
+                take(self.state, server_list(version, False, of("a", f"x{version}")))
+                take(self.state, server_list(version + 10, False, of("a", f"x{version}", "Gone")))
+                self.state.version = version
+            self.state.version = 26
+        self.assertEqual((len(self.state.tombstones), self.state.floor), (3, 23))
+        self.assertEqual(told(self.state, behind), (26, True, ["a1", "a2"]))
+        self.assertEqual(told(self.state, near), (26, True, ["a1", "a2"]))
+        self.assertEqual(told(self.state, self.state.follow(["a"], 23)), (26, False, ["-x14", "-x15", "-x16"]))
+
+    def test_a_new_relay_knows_what_was_missed_before_its_own_start(self) -> None:
+        # Its first watch asks from before its first list; so followers of one that died get changes.
+        take(self.state, server_list(10, False, of("a", "a2"), of("b", "old", "Gone")), fresh=True, after=4)
+        self.assertEqual(self.state.floor, 4)
+        self.assertEqual(told(self.state, self.state.follow([], 4)), (10, False, ["-old", "a2"]))
+        self.assertEqual(told(self.state, self.state.follow([], 3)), (10, True, ["a1", "a2", "b1"]))
+        self.assertIsNone(told(self.state, self.state.follow([], 10)))
+
+    def test_a_whole_list_of_the_source_comes_to_changes(self) -> None:
+        cursor = self.state.follow([], 10)
+        again = server_list(20, True, of("a", "a1"), of("b", "b1", "Terminating"), of("b", "b2"))
+        self.assertFalse(take(self.state, again, fresh=True, after=10))
+        self.assertEqual(told(self.state, cursor), (20, False, ["-a2", "b1", "b2"]))
+
+
+class Histories(StateCase):
+    def test_an_older_word_counts_only_on_a_link_set_anew(self) -> None:
+        cursor = self.state.follow(["a"], 10)
+        older = server_list(5, True, of("a", "a1"), of("a", "old"))
+        for late in (
+            older,
+            server_list(9, False, of("a", "a1", "Terminating")),
+            server_list(10, False, of("a", "a1", "Terminating")),
+            server_list(10, True, of("a", "a1")),
+        ):
+            with self.subTest(late["generation"]), self.assertRaises(OutOfOrder):
+                take(self.state, late)
+            self.assertEqual((self.state.version, told(self.state, cursor)), (10, None))
+        # The same said again is no news, and changes alone are never another history.
+        take(self.state, server_list(10, True, of("a", "a1"), of("a", "a2"), of("b", "b1")))
+        with self.assertRaises(OutOfOrder):
+            take(self.state, server_list(5, False, of("a", "old")), fresh=True, after=10)
+        self.assertTrue(take(self.state, older, fresh=True, after=10))
+        self.assertEqual(told(self.state, cursor), (5, True, ["a1", "old"]))
+        # Who comes with a generation that both histories have may be of either.
+        take(self.state, server_list(9, False, of("a", "new")))
+        self.assertEqual(told(self.state, self.state.follow(["a"], 8)), (9, True, ["a1", "old", "new"]))
+        take(self.state, server_list(11, False, of("a", "new", "Gone")))
+        self.assertEqual(told(self.state, self.state.follow(["a"], 10)), (11, False, ["-new"]))
+
+    def test_a_follower_ahead_is_told_nothing_older(self) -> None:
+        ahead = self.state.follow(["a"], 12)
+        take(self.state, server_list(11, False, of("a", "a1", "Ready", cell=1)))
+        self.assertEqual((told(self.state, ahead), self.state.beat(ahead)), (None, b""))
+        take(self.state, server_list(12, False, of("a", "a1", "Terminating")))
+        self.assertEqual((told(self.state, ahead), self.state.beat(ahead)), (None, b"\n"))
+        take(self.state, server_list(13, False, of("a", "a1", "Gone")))
+        self.assertEqual(told(self.state, ahead), (13, False, ["-a1"]))
+
+    def test_only_the_sources_own_lower_generation_makes_it_one_of_another_history(self) -> None:
+        near, far = self.state.follow(["a"], 12), self.state.follow(["a"], 40)
+        self.state.deny(near, 12)
+        self.state.deny(far, 12)
+        self.assertIsNone(told(self.state, near))
+        self.assertEqual(told(self.state, far), (10, True, ["a1", "a2"]))
+
+
+class Unreadable(StateCase):
+    def test_each_is_turned_down_and_named(self) -> None:
+        good = json.dumps(server_list(11, False, of("a", "a1")))
+        for text in (
+            "",
+            good[:-2],
+            "[]",
+            "[" * 100_000,
+            "{}",
+            good.replace('"generation": 11', '"generation": "11"'),
+            good.replace('"generation": 11', '"generation": -1'),
+            good.replace('"generation": 11', '"generation": true'),
+            good.replace('"reset"', '"rest"'),
+            good.replace('"instances": [', '"instances": [5, '),
+            good.replace('"instanceId"', '"id"'),
+            good.replace('"lifecycle"', '"life"'),
+            good.replace('"service": "a"', '"service": 5'),
+            good.replace('"weight": 1.0', '"weight": NaN'),
+            good.replace('"startedAtMs": 0', '"startedAtMs": 1e999'),
+            good.replace('"cell": 0', '"cell": "x"'),
+        ):
+            with self.subTest(text[:80]), self.assertRaisesRegex(Unusable, "unreadable, .* in b"):
+                read_told(text.encode())
+        self.assertEqual(read_told(good.encode()).version, 11)
+
+    def test_changes_before_any_list_are_turned_down(self) -> None:
+        with self.assertRaises(OutOfOrder):
+            take(State(), server_list(3, False, of("a", "a1")), fresh=True)
+
+
+class Routes(unittest.TestCase):
+    def test_at_once_behind_a_silence_else_spread_by_chance(self) -> None:
+        sources = [f"10.0.0.{i}:1" for i in range(4)]
+        routes = [Route(sources, str(seed)) for seed in range(200)]
+        first = [sum(route.address == source for route in routes) for source in sources]
+        self.assertGreater(min(first), 30)
+        route = routes[0]
+        seen = [route.address]
+        for _ in range(3):
+            self.assertEqual(route.ended(silent=True), 0)
+            seen.append(route.address)
+        self.assertEqual(sorted(seen), sources)
+        stays = route.address
+        self.assertGreater(route.ended(silent=False, stay=True), 0)
+        self.assertEqual(route.address, stays)
+        waits = [other.ended(silent=False) for other in routes[1:]]
+        # The next of several is asked well within what is left of 6 s, by no two relays in the same moment.
+        self.assertLess(max(waits), 150_000)
+        self.assertGreater(len(dict.fromkeys(waits)), 150)
+        longest = [route.ended(silent=False) for _ in range(40)]
+        self.assertLessEqual(max(longest), 1.5 * RETRY_MOST)
+        self.assertGreater(longest[-1], max(waits))
+
+    def test_age_is_passed_on(self) -> None:
+        route = Route(["10.0.0.1:1"], "7")
+        self.assertFalse(route.heard(50_000_000, age_us=20_000_000))
+        self.assertEqual(route.age_us(51_000_000), 21_000_000)
+        self.assertTrue(route.heard(52_000_000))
+        self.assertFalse(route.heard(53_000_000, age_us=OLD))
+        self.assertEqual(route.age_us(53_000_000), 1_000_000)
+
+
+class Regions(unittest.TestCase):
+    """Each region has its source; two regions apart for an hour, each with relays of both lists."""
+
+    def test_own_changes_go_on_and_at_the_return_comes_what_was_missed_and_no_more(self) -> None:
+        east, west = Origin("e"), Origin("w")
+        for number in range(300):
+            east.change(of(f"s{number % 20}", f"e{number}"))
+            west.change(of(f"s{number % 20}", f"w{number}"))
+        # The relay of the west's list that stands in the east, and the other way round; one of each at home.
+        sites = {(near, far.mark): Site(far) for near in "ew" for far in (east, west)}
+        for site in sites.values():
+            site.link()
+        nodes = {key: Reader(("s1", "s2")) for key in sites}
+        for key, node in nodes.items():
+            node.go(sites[key])
+            node.take_all()
+        east.change(of("s1", "e1", "Terminating"))
+        for key in sites:
+            sites[key].take_all()
+            nodes[key].take_all()
+        # Cut: what crosses is gone. Each side goes on; the server that drained goes, another becomes ready.
+        for key in (("e", "w"), ("w", "e")):
+            sites[key].cut()
+        before = {key: dict(node.held) for key, node in nodes.items()}
+        east.change(of("s1", "e1", "Gone"))
+        for number in range(2, 40):
+            east.change(of(f"s{number % 20}", f"e{number}", cell=7))
+            west.change(of(f"s{number % 20}", f"w{number}", cell=7))
+        for key in (("e", "e"), ("w", "w")):
+            sites[key].take_all()
+            nodes[key].take_all()
+            self.assertEqual(nodes[key].held, sites[key].origin.listed(("s1", "s2")))
+        for key in (("e", "w"), ("w", "e")):
+            nodes[key].take_all()
+            self.assertEqual(nodes[key].held, before[key])
+        for key in (("e", "w"), ("w", "e")):
+            nodes[key].told.clear()
+            sites[key].link()
+            sites[key].take_all()
+            nodes[key].take_all()
+            self.assertEqual(nodes[key].held, sites[key].origin.listed(("s1", "s2")))
+        missed = [("e1", "e2", "e21", "e22"), ("w2", "w21", "w22")]
+        for key, names in zip((("w", "e"), ("e", "w")), missed, strict=True):
+            self.assertEqual(sorted(nodes[key].told), list(names))
+            self.assertEqual(nodes[key].wholes, 1)
+
+
+# A made-up network round `State`: a source with a log, relays, and readers that are a node's list.
+
+
+class Pipe:
+    """What is on its way to one follower."""
+
+    def __init__(self, after: int) -> None:
+        self.after = after
+        self.texts: list[bytes] = []
+        self.fresh = True
+        self.open = True
+
+
+class Origin:
+    """A source by its protocol: it tells what changed after a generation, or the whole list."""
+
+    def __init__(self, mark: str = "") -> None:
+        self.mark = mark
+        self.version = self.history = 0
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.log: list[tuple[int, dict[str, Any]]] = []
+        self.trimmed = 0
+        self.pipes: list[Pipe] = []
+        # What was listed at each generation of each history.
+        self.past: dict[tuple[int, int], dict[str, str]] = {(0, 0): {}}
+
+    def change(self, item: dict[str, Any]) -> None:
+        self.version += 1
+        item["stamp"] = [self.history, self.version]
+        if item["lifecycle"] == "Gone":
+            self.entries.pop(item["instanceId"], None)
+        else:
+            self.entries[item["instanceId"]] = item
+        self.log.append((self.version, item))
+        self.remember()
+        for pipe in self.pipes:
+            pipe.texts.append(json.dumps(server_list(self.version, False, item)).encode())
+
+    def set_back(self, version: int) -> None:
+        """Restarted with less than it had: another history, and every watch has ended."""
+        self.history += 1
+        self.version = self.trimmed = version
+        self.log.clear()
+        for item in list(self.entries.values())[::3]:
+            del self.entries[item["instanceId"]]
+        for item in self.entries.values():
+            item["stamp"] = [self.history, version]
+        self.remember()
+        for pipe in self.pipes:
+            pipe.open = False
+        self.pipes.clear()
+
+    def remember(self) -> None:
+        self.past[self.history, self.version] = {
+            name: json.dumps(item) for name, item in self.entries.items()
+        }
+
+    def whole(self) -> bytes:
+        return json.dumps(server_list(self.version, True, *self.entries.values())).encode()
+
+    def open(self, after: int, services: tuple[str, ...] = ()) -> Pipe:
+        pipe = Pipe(after)
+        if after > self.version or after < self.trimmed:
+            pipe.texts.append(self.whole())
+        elif missed := [item for version, item in self.log if version > after]:
+            # As told since, not folded.
+            pipe.texts.append(json.dumps(server_list(self.version, False, *missed)).encode())
+        self.pipes.append(pipe)
+        return pipe
+
+    def ask(self, after: int) -> int | None:
+        return self.version if after > self.version else None
+
+    def listed(self, services: tuple[str, ...]) -> dict[str, dict[str, Any]]:
+        return {
+            name: item for name, item in self.entries.items() if not services or item["service"] in services
+        }
+
+
+class Site:
+    """A relay as its sockets would have it do: one write out to each follower, its own link set anew."""
+
+    def __init__(self, origin: Origin) -> None:
+        self.origin = origin
+        self.state = State()
+        self.pipe: Pipe | None = None
+        self.source: Origin | Site = origin
+        self.asks_whole = False
+        self.followers: list[tuple[Cursor, Pipe]] = []
+
+    def is_ready(self) -> bool:
+        return self.state.version >= 0
+
+    def whole(self) -> bytes:
+        cursor = self.state.follow((), -1)
+        text = self.state.news(cursor)
+        self.state.leave(cursor)
+        return text
+
+    def link(self, source: Origin | Site | None = None) -> None:
+        self.cut()
+        self.source = source or self.source
+        if isinstance(self.source, Site) and not self.source.is_ready():
+            return
+        after = self.state.version
+        if after < 0 or self.asks_whole:
+            assert not self.asks_whole or isinstance(self.source, Origin), "a relay told older words"
+            self.asks_whole = False
+            self.state.take(read_told(self.source.whole()), True)
+            after = max(0, self.state.version - 12) if after < 0 else self.state.version
+        self.pipe = self.source.open(after)
+        self.push()
+
+    def cut(self) -> None:
+        """The link is gone, with all that was on its way."""
+        if self.pipe is not None:
+            self.pipe.open = False
+            self.source.drop(self.pipe) if isinstance(self.source, Site) else None
+            if isinstance(self.source, Origin) and self.pipe in self.source.pipes:
+                self.source.pipes.remove(self.pipe)
+        self.pipe = None
+
+    def open(self, after: int, services: tuple[str, ...] = ()) -> Pipe:
+        pipe = Pipe(after)
+        cursor = self.state.follow(services, after)
+        self.followers.append((cursor, pipe))
+        self.push()
+        if self.state.is_ahead(cursor):
+            self.ask(after)
+        return pipe
+
+    def drop(self, pipe: Pipe) -> None:
+        for known in [known for known in self.followers if known[1] is pipe]:
+            self.followers.remove(known)
+            self.state.leave(known[0])
+
+    def ask(self, after: int) -> int | None:
+        """Up to the source, and back down."""
+        if self.pipe is None or after <= self.state.version:
+            return None
+        version = self.source.ask(after)
+        if version is None:
+            return None
+        for cursor, _ in self.followers:
+            self.state.deny(cursor, version)
+        self.push()
+        if version < self.state.version:
+            self.cut()
+        return self.state.version
+
+    def take_one(self) -> bool:
+        pipe = self.pipe
+        if pipe is None:
+            return False
+        if not pipe.texts:
+            if not pipe.open:
+                self.cut()
+            return False
+        text = pipe.texts.pop(0)
+        if isinstance(self.source, Site):
+            self.source.push()
+        if text == b"\n":
+            pipe.fresh = False
+            return True
+        try:
+            self.state.take(read_told(text), pipe.fresh, pipe.after)
+        except OutOfOrder:
+            self.asks_whole = pipe.fresh and pipe.after >= self.state.version
+            self.cut()
+        pipe.fresh = False
+        self.push()
+        return True
+
+    def take_all(self) -> None:
+        while self.take_one():
+            pass
+
+    def push(self, beats: bool = False) -> None:
+        for cursor, pipe in self.followers:
+            if pipe.texts:
+                continue
+            if self.state.has_news(cursor):
+                pipe.texts.append(self.state.news(cursor))
+            elif beats and (text := self.state.beat(cursor)):
+                pipe.texts.append(text)
+
+    def restart(self) -> None:
+        self.cut()
+        for _, pipe in self.followers:
+            pipe.open = False
+        self.followers.clear()
+        self.state = State()
+        self.asks_whole = False
+
+
+class Reader:
+    """A node's list, which must never be told an older word of a server than it has heard."""
+
+    def __init__(self, services: tuple[str, ...]) -> None:
+        self.services = services
+        self.site: Site | None = None
+        self.pipe: Pipe | None = None
+        self.version = -1
+        self.held: dict[str, dict[str, Any]] = {}
+        self.history = 0
+        self.told: list[str] = []
+        self.wholes = 0
+
+    def go(self, site: Site) -> None:
+        self.leave()
+        if site.is_ready():
+            self.site, self.pipe = site, site.open(self.version, self.services)
+
+    def leave(self) -> None:
+        if self.site is not None and self.pipe is not None:
+            self.site.drop(self.pipe)
+        self.site = self.pipe = None
+
+    def take_one(self) -> bool:
+        pipe, site = self.pipe, self.site
+        if pipe is None or site is None:
+            return False
+        if not pipe.texts:
+            if not pipe.open:
+                self.site = self.pipe = None
+            return False
+        text = pipe.texts.pop(0)
+        site.push()
+        if text == b"\n":
+            return True
+        values = json.loads(text)
+        before, self.version = self.version, values["generation"]
+        if values["reset"]:
+            self.wholes += 1
+            self.held.clear()
+        for item in values["instances"]:
+            name, gone = item["instanceId"], item["lifecycle"] == "Gone"
+            self.told.append(name)
+            if gone:
+                self.held.pop(name, None)
+            else:
+                self.held[name] = item
+        self.check(site.origin, before)
+        return True
+
+    def check(self, origin: Origin, before: int) -> None:
+        """What is held is what the source held at that generation, and that is no earlier one."""
+        for history in range(self.history, origin.history + 1):
+            at_first = history == self.history
+            past = origin.past.get((history, self.version), {})
+            listed = {
+                name: text for name, text in past.items()
+                if not self.services or json.loads(text)["service"] in self.services
+            }  # fmt: skip
+            if not (at_first and self.version < before) and listed == {
+                name: json.dumps(item) for name, item in self.held.items()
+            }:
+                self.history = history
+                return
+        raise AssertionError(f"{self.services} at {self.version}, {before} before: {self.held}")
+
+    def take_all(self) -> None:
+        while self.take_one():
+            pass
+
+
+class Days(unittest.TestCase):
+    """Any interleaving of changes, deliveries, cuts, restarts, moves between relays and set-backs of the source.
+
+    One thing no integer can tell: a relay that has not heard of a set-back takes who has heard of it for one
+    that is behind. So from a set-back on nobody moves until each relay has been at the source again, and the
+    new history stays below the old one until then.
+    """
+
+    def play(self, seed: int, steps: int) -> int:
+        self.seed, self.count = seed, 0
+        origin = Origin()
+        for number in range(30):
+            origin.change(of(f"s{number % 6}", f"x{number}"))
+        near = [Site(origin), Site(origin)]
+        sites = [*near, Site(origin), Site(origin)]
+        kinds: list[tuple[str, ...]] = [("s0",), ("s1", "s2"), ("s0", "s3", "s5"), ()]
+        readers = [Reader(kinds[number % len(kinds)]) for number in range(8)]
+        unheard: dict[Site, None] = {}
+        top = 0
+        for _ in range(steps):
+            what = self.draw(100)
+            if what < 25:
+                if origin.version + 1 < top or not unheard:
+                    self.change(origin)
+            elif what < 55:
+                reader = readers[self.draw(len(readers))]
+                if reader.pipe is None and not (unheard and reader.version >= 0):
+                    reader.go(sites[self.draw(len(sites))])
+                reader.take_one()
+            elif what < 80:
+                self.step(sites[self.draw(len(sites))], near, origin)
+            elif what < 84:
+                sites[self.draw(len(sites))].cut()
+            elif what < 88:
+                if not unheard:
+                    readers[self.draw(len(readers))].leave()
+            elif what < 92:
+                sites[self.draw(len(sites))].push(beats=True)
+            elif what < 93:
+                if not unheard:
+                    sites[self.draw(len(sites))].restart()
+            elif what < 94 and not unheard and origin.version > 40:
+                top = max(top, origin.version)
+                origin.set_back(origin.version - 1 - self.draw(30))
+                unheard = dict.fromkeys(sites)
+            for site in [site for site in unheard if self.has_heard(site, origin)]:
+                del unheard[site]
+        for _ in range(200):
+            for site in sites:
+                self.step(site, near, origin)
+                site.take_all()
+                site.push()
+            for number, reader in enumerate(readers):
+                if reader.pipe is None:
+                    reader.go(sites[number % len(sites)])
+                reader.take_all()
+                if reader.site is not None and reader.site.state.version < reader.version:
+                    reader.site.ask(reader.version)
+        for site in sites:
+            held = {
+                name: json.loads(part.changes[name].text) for name, part in site.state.entries.items()
+            }
+            self.assertEqual(held, origin.entries, f"seed {seed}")
+        for reader in readers:
+            self.assertEqual(reader.held, origin.listed(reader.services), f"seed {seed}")
+        return origin.history
+
+    def draw(self, most: int) -> int:
+        self.count += 1
+        return crc32(f"{self.seed} {self.count}".encode()) % most
+
+    def change(self, origin: Origin) -> None:
+        name = f"x{self.draw(40)}"
+        service = f"s{self.draw(6)}" if not self.draw(12) else f"s{int(name[1:]) % 6}"
+        known = origin.entries.get(name)
+        lifecycle = ("Ready", "Terminating", "Gone")[self.draw(3)]
+        if lifecycle == "Gone":
+            if known is None:
+                return
+            service = known["service"]
+        origin.change(of(service, name, lifecycle))
+        if not self.draw(60):
+            origin.trimmed = origin.version - self.draw(5)
+
+    def step(self, site: Site, near: list[Site], origin: Origin) -> None:
+        """One act of a relay's link: the second two follow the first two."""
+        if site.pipe is None:
+            site.link(origin if site in near else near[self.draw(2)])
+        else:
+            site.take_one()
+
+    def has_heard(self, site: Site, origin: Origin) -> bool:
+        first = next(iter(site.state.entries), None)
+        if first is None:
+            return site.state.version < 0
+        stamp = json.loads(site.state.entries[first].changes[first].text)["stamp"]
+        return bool(stamp[0] == origin.history)
+
+    def test_all_end_with_what_the_source_holds_and_no_server_goes_back(self) -> None:
+        set_back = 0
+        with mock.patch.object(state_module, "TOMBSTONES_MOST", 6):
+            for seed in range(40):
+                with self.subTest(seed):
+                    set_back += self.play(seed, 600)
+        self.assertGreater(set_back, 20)
