--- a/coraldeal/relay/server.py
+++ b/coraldeal/relay/server.py
@@ -379,12 +379,13 @@
         while ahead := [each for each in self.followers if self.state.is_ahead(each.cursor)]:
             first = max(ahead, key=lambda each: each.cursor.version)
             version = await self.link.ask(first.cursor.version, first.cursor.interest.key)
-            if version is not None:
+            if version is not None and version < self.state.version:
+                # What is held here is of another history itself: once that is clear all are told.
+                self.link.renew()
+            elif version is not None:
                 for follower in ahead:
                     self.state.deny(follower.cursor, version)
                     if follower in self.followers and self.state.has_news(follower.cursor):
                         self._push(follower)
-                if version < self.state.version:
-                    self.link.renew()
             await asyncio.sleep(ASK_EVERY)
 
--- a/coraldeal/relay/state.py
+++ b/coraldeal/relay/state.py
@@ -390,8 +390,11 @@
         return cursor.version > self.version and cursor.epoch == self.epoch
 
     def deny(self, cursor: Cursor, version: int) -> None:
-        """The source, asked since this follower came, is at a lower generation: it is of another history."""
-        if self.is_ahead(cursor) and cursor.version > version:
+        """The source, asked since this follower came, is at a lower generation: it is of another history.
+
+        Nothing is clear where what is held here is above that generation too; it has to be asked for anew first.
+        """
+        if self.is_ahead(cursor) and cursor.version > version >= self.version:
             cursor.epoch = -1
 
     def _is_lost(self, version: int) -> bool:
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -299,6 +299,8 @@
         self.texts: list[bytes] = []
         self.fresh = True
         self.open = True
+        # Of which history of the source it tells.
+        self.history = 0
 
 
 class Origin:
@@ -327,15 +329,15 @@
             pipe.texts.append(json.dumps(server_list(self.version, False, item)).encode())
 
     def set_back(self, version: int) -> None:
-        """Restarted with less than it had: another history, and every watch has ended."""
+        """Restarted from what it kept of an earlier generation: another history, and every watch has ended."""
+        self.past.update(
+            {(self.history + 1, at): past for (history, at), past in self.past.items()
+             if history == self.history and at <= version}
+        )  # fmt: skip
         self.history += 1
-        self.version = self.trimmed = version
-        self.log.clear()
-        for item in list(self.entries.values())[::3]:
-            del self.entries[item["instanceId"]]
-        for item in self.entries.values():
-            item["stamp"] = [self.history, version]
-        self.remember()
+        self.version = version
+        self.entries = {name: json.loads(text) for name, text in self.past[self.history, version].items()}
+        self.log = [known for known in self.log if known[0] <= version]
         for pipe in self.pipes:
             pipe.open = False
         self.pipes.clear()
@@ -350,6 +352,7 @@
 
     def open(self, after: int, services: tuple[str, ...] = ()) -> Pipe:
         pipe = Pipe(after)
+        pipe.history = self.history
         if after > self.version or after < self.trimmed:
             pipe.texts.append(self.whole())
         elif missed := [item for version, item in self.log if version > after]:
@@ -377,6 +380,11 @@
         self.source: Origin | Site = origin
         self.asks_whole = False
         self.followers: list[tuple[Cursor, Pipe]] = []
+        # The source's history when this link was set, as far as whoever was asked had heard of it.
+        self.history = 0
+
+    def holds(self) -> dict[str, Any]:
+        return {name: json.loads(part.changes[name].text) for name, part in self.state.entries.items()}
 
     def is_ready(self) -> bool:
         return self.state.version >= 0
@@ -398,6 +406,7 @@
             self.asks_whole = False
             self.state.take(read_told(self.source.whole()), True)
             after = max(0, self.state.version - 12) if after < 0 else self.state.version
+        self.history = self.source.history
         self.pipe = self.source.open(after)
         self.push()
 
@@ -412,6 +421,7 @@
 
     def open(self, after: int, services: tuple[str, ...] = ()) -> Pipe:
         pipe = Pipe(after)
+        pipe.history = self.history
         cursor = self.state.follow(services, after)
         self.followers.append((cursor, pipe))
         self.push()
@@ -431,11 +441,12 @@
         version = self.source.ask(after)
         if version is None:
             return None
+        if version < self.state.version:
+            self.cut()
+            return None
         for cursor, _ in self.followers:
             self.state.deny(cursor, version)
         self.push()
-        if version < self.state.version:
-            self.cut()
         return self.state.version
 
     def take_one(self) -> bool:
@@ -496,6 +507,9 @@
         self.told: list[str] = []
         self.wholes = 0
 
+    def holds(self) -> dict[str, Any]:
+        return self.held
+
     def go(self, site: Site) -> None:
         self.leave()
         if site.is_ready():
@@ -521,6 +535,7 @@
         values = json.loads(text)
         before, self.version = self.version, values["generation"]
         if values["reset"]:
+            pipe.history = site.history
             self.wholes += 1
             self.held.clear()
         for item in values["instances"]:
@@ -547,7 +562,11 @@
             }:
                 self.history = history
                 return
-        raise AssertionError(f"{self.services} at {self.version}, {before} before: {self.held}")
+        past = origin.past.get((origin.history, self.version), {})
+        stamps = {name: json.loads(text)["stamp"] for name, text in past.items()}
+        held = {name: item["stamp"] for name, item in self.held.items()}
+        wrong = {name: (stamp, stamps.get(name)) for name, stamp in held.items() if stamp != stamps.get(name)}
+        raise AssertionError(f"{self.services} at {self.version}, {before} before, {self.history}: {wrong}")
 
     def take_all(self) -> None:
         while self.take_one():
@@ -571,16 +590,16 @@
         sites = [*near, Site(origin), Site(origin)]
         kinds: list[tuple[str, ...]] = [("s0",), ("s1", "s2"), ("s0", "s3", "s5"), ()]
         readers = [Reader(kinds[number % len(kinds)]) for number in range(8)]
-        unheard: dict[Site, None] = {}
-        top = 0
+        unheard: dict[Site | Reader, None] = {}
         for _ in range(steps):
             what = self.draw(100)
             if what < 25:
-                if origin.version + 1 < top or not unheard:
+                if not unheard:
                     self.change(origin)
             elif what < 55:
                 reader = readers[self.draw(len(readers))]
-                if reader.pipe is None and not (unheard and reader.version >= 0):
+                sites_heard = not any(isinstance(each, Site) for each in unheard)
+                if reader.pipe is None and (sites_heard or reader.version < 0):
                     reader.go(sites[self.draw(len(sites))])
                 reader.take_one()
             elif what < 80:
@@ -596,11 +615,10 @@
                 if not unheard:
                     sites[self.draw(len(sites))].restart()
             elif what < 94 and not unheard and origin.version > 40:
-                top = max(top, origin.version)
                 origin.set_back(origin.version - 1 - self.draw(30))
-                unheard = dict.fromkeys(sites)
-            for site in [site for site in unheard if self.has_heard(site, origin)]:
-                del unheard[site]
+                unheard = dict.fromkeys([*sites, *readers])
+            for each in [each for each in unheard if self.has_heard(each, origin)]:
+                del unheard[each]
         for _ in range(200):
             for site in sites:
                 self.step(site, near, origin)
@@ -613,10 +631,7 @@
                 if reader.site is not None and reader.site.state.version < reader.version:
                     reader.site.ask(reader.version)
         for site in sites:
-            held = {
-                name: json.loads(part.changes[name].text) for name, part in site.state.entries.items()
-            }
-            self.assertEqual(held, origin.entries, f"seed {seed}")
+            self.assertEqual(site.holds(), origin.entries, f"seed {seed}")
         for reader in readers:
             self.assertEqual(reader.held, origin.listed(reader.services), f"seed {seed}")
         return origin.history
@@ -645,12 +660,18 @@
         else:
             site.take_one()
 
-    def has_heard(self, site: Site, origin: Origin) -> bool:
-        first = next(iter(site.state.entries), None)
-        if first is None:
-            return site.state.version < 0
-        stamp = json.loads(site.state.entries[first].changes[first].text)["stamp"]
-        return bool(stamp[0] == origin.history)
+    def has_heard(self, each: Site | Reader, origin: Origin) -> bool:
+        version, services = (each.state.version, ()) if isinstance(each, Site) else (each.version, each.services)
+        if version < 0:
+            return True
+        past = origin.past.get((origin.history, version))
+        listed = past is not None and {
+            name: item
+            for name, item in ((name, json.loads(text)) for name, text in past.items())
+            if not services or item["service"] in services
+        }
+        history = each.pipe.history if each.pipe is not None else origin.history
+        return listed == each.holds() and history == origin.history
 
     def test_all_end_with_what_the_source_holds_and_no_server_goes_back(self) -> None:
         set_back = 0
