--- a/coraldeal/relay/state.py
+++ b/coraldeal/relay/state.py
@@ -392,7 +392,7 @@
     def deny(self, cursor: Cursor, version: int) -> None:
         """The source, asked since this follower came, is at a lower generation: it is of another history.
 
-        Nothing is clear where what is held here is above that generation too; it has to be asked for anew first.
+        Nothing is clear where what is held here is above that too; it has to be asked for anew first.
         """
         if self.is_ahead(cursor) and cursor.version > version >= self.version:
             cursor.epoch = -1
@@ -453,5 +453,6 @@
             )
             if len(interest.texts) >= TEXTS_MOST:
                 interest.texts.clear()
-            interest.texts[after] = text
+            if interest.followers > 1:
+                interest.texts[after] = text
         return text
