The scale run behind relays: `--relays N` in each region, one of them killed

`coraldeal relay` processes follow the source's door of their region; hollow nodes follow them by `[lists]`, as the operator's file has it. In the tenfold window one relay is killed with its followers and comes back with nothing after 2 s. The summary tells processor time and memory of relays. Real nodes stay at doors of their own, by which drains are judged.

test_scale: 60 hollow nodes behind six relays, one killed: good.

--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -35,6 +35,13 @@
 GO_ON_WITHIN = 0.5
 
 
+def _in_own_order(sources: Sequence[str], seed: str) -> list[str]:
+    # Off where no sources are named, and not imported then.
+    from coraldeal.relay.route import in_own_order
+
+    return in_own_order(sources, seed)
+
+
 class _Silence:
     """Ends a watch that has brought nothing for its time."""
 
@@ -68,7 +75,7 @@
     ) -> None:
         # Several sources of the same list, in an order of this node's own: a watch that ends goes on at the
         # next one, from the version held. None: there is the one address.
-        self.sources = sorted(sources, key=lambda source: crc32(f"{seed} {source}".encode()))
+        self.sources = _in_own_order(sources, seed) if sources else []
         self.seed = seed
         self.address = self.sources[0] if self.sources else address
         # The services whose servers are asked for; none named: all that the source tells at this address.
--- a/coraldeal/relay/link.py
+++ b/coraldeal/relay/link.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager
 from urllib.parse import quote
 
@@ -47,6 +47,14 @@
     return int(text[:9]) * 1_000_000 if text.isascii() and text.isdigit() else 0
 
 
+def _readable(objects: Objects, piece: bytes) -> Iterator[bytes]:
+    """What is whole with this piece; what stands before something that can't be read is handed out first."""
+    try:
+        yield from objects.feed(piece)
+    except ValueError as error:
+        raise Unusable(f"unreadable, {error}") from None
+
+
 @asynccontextmanager
 async def _asked(url: URL) -> AsyncIterator[aiohttp.ClientResponse]:
     connector = aiohttp.TCPConnector(force_close=True, happy_eyeballs_delay=None)
@@ -176,11 +184,9 @@
             async with _asked(list_url(address, self.services, after)) as answer:
                 age_us = _age_us(answer)
                 async for piece in answer.content.iter_any():
-                    try:
-                        whole = objects.feed(piece)
-                    except ValueError as error:
-                        raise Unusable(f"unreadable, {error}") from None
-                    for text in whole:
+                    whole = 0
+                    for text in _readable(objects, piece):
+                        whole += 1
                         self._take(text, fresh, after, age_us if fresh else 0)
                         fresh = False
                     if not whole and not objects.begun:
--- a/coraldeal/relay/route.py
+++ b/coraldeal/relay/route.py
@@ -9,20 +9,30 @@
 from zlib import crc32
 
 SECOND = 1_000_000
-# A sign of life comes every 2 s, through a relay every 2.5 s. The relay has to notice a silence and be at
-# another source before its own followers, who heard the same silence, give it up after 4.3 s.
-SILENCE = 3_200_000
+# A sign of life comes every 2 s, through a relay `BEAT_SPACING` later at the most. The relay notices a
+# silence when its followers do, who heard the same one, and is at another source while they turn elsewhere.
+SILENCE = 2_500_000
 # Waits before the next source where one failed at once, and how far they grow once all have failed.
 RETRY_LEAST, RETRY_MOST = 100_000, 1_000_000
 # What a source has said this long ago or longer, by its own word, is no sign that it lives.
 OLD = 1 * SECOND
-# Signs of life need not be passed on more often than this: a third hop would still notice no silence.
-BEAT_SPACING = 500_000
+# Signs of life need not be passed on more often than this; two such hops leave a follower, who gives up a
+# watch that says nothing for 2.5 s, a tenth of a second of lateness.
+BEAT_SPACING = 200_000
 
 
 def in_own_order(addresses: Sequence[str], seed: str) -> list[str]:
-    """Addresses in an order drawn once by chance, another for each seed, so that followers part evenly."""
-    return sorted(addresses, key=lambda address: crc32(f"{seed} {address}".encode()))
+    """Addresses in an order drawn one by one, another for each seed, so that followers part evenly.
+
+    Also those who lose the same relay: checksums of texts that are alike differ alike, so that the second
+    draw would follow from the first but for the digits between.
+    """
+    left = list(addresses)
+    order = []
+    for draw in range(len(left)):
+        digits = crc32(f"{seed} order {draw}".encode())
+        order.append(left.pop(crc32(b"%d" % digits) * len(left) >> 32))
+    return order
 
 
 class Route:
--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -125,6 +125,9 @@
     made.add_argument("--seed", type=int, default=1)
     made.add_argument("--rate", type=float, default=0.66, help="changes a second (default: 0.66)")
     made.add_argument("--processes", type=int, default=0, help="of hollow nodes (default: one for 250 nodes)")
+    made.add_argument(
+        "--relays", type=int, default=0, help="relays in each region (default: 0, straight from the source)"
+    )
     made.add_argument(
         "--plant", default="", metavar="FAULT", help="drop, swap, stale or keep-gone: to be found"
     )
@@ -159,6 +162,7 @@
         seed=args.seed,
         rate=args.rate,
         processes=args.processes,
+        relays=args.relays,
         plant=args.plant,
         # In their own order, whatever that of the option.
         troubles=tuple(name for name in TROUBLES if name in named),
--- a/coraldeal/rig/scale/hollow.py
+++ b/coraldeal/rig/scale/hollow.py
@@ -81,7 +81,11 @@
         self.rewatch_wait = REWATCH_LEAST
         self.draws = 0
         read = partial(read_list, offset_us=offset_us)
-        self.discovery = Discovery(job.addresses[0], read, self.take_list, self.list_failed, job.services)
+        # One address alone is the configuration's; several are the operator's `[lists]`.
+        several = job.addresses if len(job.addresses) > 1 else ()
+        self.discovery = Discovery(
+            job.addresses[0], read, self.take_list, self.list_failed, job.services, several, str(config.seed)
+        )
         self.servers = Servers(
             clock, config.conn_idle_us, config.connect_timeout_us, _nothing, self.may_send, Figures(())
         )
--- a/coraldeal/rig/scale/run.py
+++ b/coraldeal/rig/scale/run.py
@@ -34,14 +34,19 @@
     Standing,
     Told,
 )
-from coraldeal.rig.scale.fleet import Fleet, draw_fleet
+from coraldeal.rig.scale.fleet import REGIONS, Fleet, draw_fleet
 from coraldeal.rig.scale.hollow import settings
 from coraldeal.rig.scale.journal import OF_SOURCE, Timeline, weight_of
 from coraldeal.rig.scale.judge import Cut, Journal, Judge, Verdict
+from coraldeal.rig.scale.relays import RelayProcess
 from coraldeal.rig.scale.timeline import TROUBLES, draw_timeline, first_id
-from coraldeal.rig.scale.topology import Direct, Topology
+from coraldeal.rig.scale.topology import Direct, Relays, Topology
 
 NODES_MOST, SECONDS_MOST, PROCESSES_MOST, REAL_MOST = 21_000, 600.0, 200, 64
+# In each region; one alone leaves its followers nobody to go on at.
+RELAYS_MOST = 4
+# The window in which a relay is killed, and after how many seconds it is back.
+KILLED_IN, KILLED_FOR = "tenfold", 2.0
 # Hollow nodes in one process, unless told otherwise.
 IN_PROCESS = 250
 # What a run is taken to need, in megabytes: for a process, for a hollow node with its part of the source.
@@ -69,6 +74,8 @@
     seed: int = 1
     rate: float = 0.66
     processes: int = 0
+    # Relays in each region; 0: every node asks the source itself.
+    relays: int = 0
     plant: str = ""
     troubles: tuple[str, ...] = TROUBLES
     settle: float = SETTLE
@@ -86,12 +93,18 @@
             "--seconds": (self.seconds, 2, SECONDS_MOST),
             "--settle": (self.settle, 0.5, SETTLE_MOST),
             "--rate": (self.rate, 0.01, 100),
-            "--processes": (self.hollow_processes(), 1, min(PROCESSES_MOST - self.real - 2, self.nodes)),
+            "--relays": (self.relays, 0, RELAYS_MOST),
+            "--processes": (
+                self.hollow_processes(),
+                1,
+                min(PROCESSES_MOST - self.real - 2 - REGIONS * self.relays, self.nodes),
+            ),
         }
         for name, (value, least, most) in bounds.items():
             if not least <= value <= most:
                 raise ExperimentError(f"{name}: {value:g} is not in {least:g} to {most:g}")
-        need = PROCESS_MB * (self.hollow_processes() + self.real + 3) + NODE_MB * self.nodes
+        processes = self.hollow_processes() + self.real + 3 + REGIONS * self.relays
+        need = PROCESS_MB * processes + NODE_MB * self.nodes
         most_mb = min(available_mb, total_mb / 2)
         if need > most_mb:
             text = f"needs some {need:.0f} MB, and {most_mb:.0f} MB may be used (half of the machine's)"
@@ -208,6 +221,9 @@
         self.hollow = [
             Child(f"hollow-{number}", "hollow", options.out) for number in range(options.hollow_processes())
         ]
+        self.relays: list[RelayProcess] = []
+        self.relay_used: list[float] = []
+        self.killing: asyncio.Task[None] | None = None
         self.real: list[NodeProcess] = []
         self.real_used: list[float] = []
         self.standing: list[Standing] = []
@@ -231,6 +247,8 @@
                 await child.kill()
             for node in self.real:
                 await node.end()
+            for relay in self.relays:
+                await relay.kill()
 
     # Its start.
 
@@ -255,6 +273,9 @@
             for place in fleet.places
         ]
         topology, own = await self._start_source()
+        if self.options.relays:
+            topology = await self._start_relays(topology)
+            self.say(f"{len(self.relays)} relays follow the source")
         self.topology = topology.name
         await self._start_real(own)
         self.say(f"source and {options.real} real nodes are up")
@@ -286,6 +307,27 @@
                 regions[door.region] = address
         return Direct(regions), own
 
+    async def _start_relays(self, source: Topology) -> Topology:
+        """So many in each region, all of them followers of the source's door for that region."""
+        regions: dict[int, list[str]] = {}
+        for region in range(self.fleet.regions):
+            for _ in range(self.options.relays):
+                relay = RelayProcess(len(self.relays), region, free_port(), self.options.out)
+                self.relays.append(relay)
+                await relay.start(source.addresses(region, 0))
+                regions.setdefault(region, []).append(relay.address)
+        for relay in self.relays:
+            await relay.until_ready()
+        return Relays(regions)
+
+    async def _kill_relay(self) -> None:
+        """One relay dies with its followers, and comes back with nothing."""
+        relay = self.relays[0]
+        await relay.kill()
+        self.say(f"         relay 0 of region {relay.region} killed")
+        await asyncio.sleep(KILLED_FOR)
+        await relay.start()
+
     async def _start_real(self, own: dict[int, list[str]]) -> None:
         program = Program(
             [sys.executable, "-m", "coraldeal", "serve", "--log-level", "warning"],
@@ -336,6 +378,7 @@
     async def _through(self) -> None:
         self.begin_us = now_us() + 500_000
         self.real_used = [-node.figures()[0] for node in self.real]
+        self.relay_used = [-relay.figures()[0] for relay in self.relays]
         ports = [node.port for node in self.real]
         for child in [*self.hollow, self.source, self.played]:
             child.order(Order(begin_us=self.begin_us, ports=ports))
@@ -343,10 +386,17 @@
             await sleep_until(self.begin_us + window.from_us)
             where = f", region {window.region}" if window.region >= 0 else ""
             self.say(f"{window.from_us / 1e6:6.1f} s  {window.name}{where}")
+            if window.name == KILLED_IN and self.relays:
+                self.killing = asyncio.get_running_loop().create_task(self._kill_relay())
         await sleep_until(self.begin_us + int((self.options.seconds + self.options.settle) * 1e6))
         self.real_used = [
             used + node.figures()[0] for used, node in zip(self.real_used, self.real, strict=True)
         ]
+        if self.killing is not None:
+            await self.killing
+        self.relay_used = [
+            used + relay.figures()[0] for used, relay in zip(self.relay_used, self.relays, strict=True)
+        ]
 
     async def _ask_doors(self) -> list[tuple[int, list[str], int]]:
         """For each real node how many servers it holds, which it lacks, how many the source has."""
@@ -444,7 +494,8 @@
             "verdict": msgspec.to_builtins(verdict),
             "node": {
                 "cpu_part": hollow_cpu / lasted / options.nodes,
-                "bytes_per_s": source.bytes / lasted / followers,
+                # Behind relays nobody counts them.
+                "bytes_per_s": None if self.relays else source.bytes / lasted / followers,
                 "mb": hollow_mb / options.nodes,
                 "late_ms": max(book.late_us for book in hollow) / 1000,
                 "watch_failures": sum(node.failures for book in hollow for node in book.nodes),
@@ -457,6 +508,13 @@
                 "watches": source.watches,
                 "wholes": source.wholes,
             },
+            # Of those that were not killed.
+            "relays": {
+                "count": len(self.relays),
+                "killed": int(self.killing is not None),
+                "cpu_part": [round(used / lasted, 5) for used in self.relay_used[bool(self.killing) :]],
+                "mb": [round(relay.figures()[1], 1) for relay in self.relays],
+            },
             "real_nodes": {
                 # Drains and ends told to real nodes, and requests at servers: what drains are judged by.
                 "told_closed": sum(row.condition != "Ready" for row in source.told),
@@ -489,7 +547,9 @@
     lines += [
         f"  worst: {verdict['worst']}",
         f"  never in force: {verdict['never']} of {verdict['pairs']}, at {verdict['nodes_without']} nodes",
-        f"  a node: {node['cpu_part']:.3%} of a core, {node['bytes_per_s']:.0f} B/s, {node['mb']:.2f} MB, "
+        f"  a node: {node['cpu_part']:.3%} of a core, "
+        + ("" if node["bytes_per_s"] is None else f"{node['bytes_per_s']:.0f} B/s, ")
+        + f"{node['mb']:.2f} MB, "
         f"loops late by {node['late_ms']:.0f} ms at the most, {node['watch_failures']} watches failed",
         f"  source: {source['cpu_part']:.1%} of a core, {source['bytes_per_s'] / 1000:.1f} kB/s, "
         f"{source['mb']:.0f} MB, late by {source['late_ms']:.0f} ms, {source['watches']} watches begun anew, "
@@ -499,6 +559,13 @@
         f"{real['drains_tested']} of them of servers just sent to, "
         f"{real['cpu_part']:.2%} of a core each, {real['mb']:.0f} MB",
     ]
+    relays = summary["relays"]
+    if relays["count"]:
+        used, held = relays["cpu_part"], relays["mb"]
+        lines.append(
+            f"  {relays['count']} relays, {relays['killed']} killed: {sum(used) / max(1, len(used)):.2%} of "
+            f"a core each, {max(used, default=0):.2%} at the most, {max(held):.0f} MB at the most"
+        )
     lines += [f"FAULT {kind}: {text}" for kind, text in verdict["faults"]]
     counts = ", ".join(f"{kind} {count}" for kind, count in verdict["counts"].items())
     lines.append("verdict: good" if summary["good"] else f"verdict: NOT GOOD ({counts})")
--- a/tests/rig/test_scale.py
+++ b/tests/rig/test_scale.py
@@ -527,6 +527,19 @@
         self.assertRegex(ran.stdout, r"[1-9]\d+ of \d+ inquiries served, [1-9]\d* drains and ends told")
         self.assertRegex(ran.stdout, r"[1-9]\d* of them of servers just sent to")
 
+    def test_behind_relays_of_which_one_is_killed(self) -> None:
+        """Followers of the killed one go on at the other of its region, from where they were."""
+        with tempfile.TemporaryDirectory() as folder:
+            options = Options(
+                nodes=60, real=0, seconds=6, settle=4, troubles=("tenfold",), relays=2, out=Path(folder)
+            )
+            summary = clock.run(play(options))
+        self.assertTrue(summary["good"], summary["verdict"])
+        self.assertEqual(summary["topology"], "relays")
+        self.assertEqual((summary["relays"]["count"], summary["relays"]["killed"]), (6, 1))
+        self.assertEqual(summary["verdict"]["never"], 0)
+        self.assertGreater(summary["verdict"]["in_force"]["tenfold"]["count"], 0)
+
     def test_planted_faults_are_found(self) -> None:
         kinds = {
             "drop": {"never": 1, "differs": 1},
