The scale run draws whom a node asks as the node itself does

`Relays.addresses` wrote anew how `relay.route.in_own_order` draws an order of sources; it calls that now.

--- a/coraldeal/rig/scale/topology.py
+++ b/coraldeal/rig/scale/topology.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Mapping, Sequence
 from typing import Protocol
-from zlib import crc32
+
+from coraldeal.relay.route import in_own_order
 
 
 class Topology(Protocol):
@@ -37,6 +38,4 @@
         self.regions = regions
 
     def addresses(self, region: int, number: int) -> list[str]:
-        # Drawn one by one: an order by the checksum of node and address is the same for half of the nodes.
-        left = list(self.regions[region])
-        return [left.pop(crc32(f"{number} {len(left)}".encode()) % len(left)) for _ in self.regions[region]]
+        return in_own_order(self.regions[region], str(number))
