Log how long each call at discovery waited, what a list changes, and why requests end

At debug level: the end of each attempt with the request's id and server, each refusal with its reason, each close of a caller's connection.

test_an_object_without_end_is_not_kept_for_good took the first line of the log for the end of the watch; a list's line now stands before it, so it takes the first line that tells of an end: as strict.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -243,6 +243,7 @@
         self.rotations: dict[tuple[tuple[str, ...], tuple[str, ...]], Rotation] = {((), ()): self.whole}
         self._take(settings)
         self.list_wait = self.list_wait_least
+        self.list_is_failing = False
         self.part = 1.0
         # What the list says, who is left out by hand and since when, and the rest: who may be sent to.
         self.listed: dict[ServerId, Entry] = {}
@@ -570,6 +571,7 @@
         """The list, or changes of it, as told. A server that drains or is gone leaves at once."""
         if kind is not ListKind.REMEMBERED:
             self.list_wait = self.list_wait_least
+            self.list_is_failing = False
         if kind is not ListKind.CHANGES:
             self.listed = {}
         for entry in entries:
@@ -651,7 +653,10 @@
 
     def list_failed(self) -> None:
         """The list did not answer or broke off: ask again after a growing wait, out of step with others."""
-        self.host.log(f"list of servers failed; asking again in about {self.list_wait // 1000} ms")
+        if not self.list_is_failing:
+            # One line for each series of failures: more would hide what comes between them.
+            self.host.log(f"list of servers failed; asking again in about {self.list_wait // 1000} ms")
+        self.list_is_failing = True
         self.host.wake("list", int(self.list_wait * (0.5 + self._chance())))
         self.list_wait = min(2 * self.list_wait, self.list_wait_most)
 
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -70,6 +70,11 @@
         # Bytes of a body that are kept for further trips.
         self.kept = 0
 
+    def end(self, why: str) -> None:
+        """Close it, with nothing owed on it."""
+        log.debug("connection closed", extra={"pairs": {"why": why, "requests": self._request_count}})
+        self.force_close()
+
     def is_silent(self) -> bool:
         """Whether it never brought a request, though it was there for long."""
         return not self._request_count and self._loop.time() - self.made_at > SILENT_LONG
@@ -246,7 +251,7 @@
         for connection in self.server.connections:
             assert isinstance(connection, _Connection)
             if _may_close(connection) and (asked_too or connection.is_silent()):
-                connection.force_close()
+                connection.end("the node ends")
 
     async def close(self) -> None:
         await self.server.shutdown(0.05)
@@ -270,7 +275,7 @@
                 continue
             if silent:
                 # Before those of usual callers, who ask as soon as they have connected.
-                connection.force_close()
+                connection.end("room for others, never asked")
                 return True
             if connection._request_count:
                 used = connection
@@ -278,7 +283,7 @@
                 newer = connection
         chosen = used or (newer if pressed else None)
         if chosen is not None:
-            chosen.force_close()
+            chosen.end("room for others")
         return chosen is not None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -297,6 +302,8 @@
         try:
             call = await self._read(request, connection)
         except BadCall as bad:
+            pairs = {"request": request.headers.get("Req-Id", ""), "status": bad.status, "why": str(bad)}
+            log.debug("request refused", extra={"pairs": pairs})
             self._turned_away(bad.status)
             track = track_of(request.raw_path)
             if track in self.tracks:
@@ -308,6 +315,8 @@
             connection._lingering_time = LINGER
         if self.is_crowded():
             # Guards the limit on descriptors: nothing was sent, so trying again is harmless.
+            pairs = {"request": call.request_id, "status": 503, "why": "descriptors are short"}
+            log.debug("request refused", extra={"pairs": pairs})
             self.figures.ended(call.track, 503)
             return self._response(Answer(503), close=True)
         patience = self.tracks[call.track] if call.left_us is None else call.left_us
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -88,6 +88,12 @@
         self.silent = False
         # Why the last watch ended, as it was told in the log; empty once a list has come since.
         self.told_why = ""
+        # How many calls have failed since a list last came, and since when.
+        self.failed_calls = 0
+        self.failing_since = 0.0
+        # When the last call was made, and whether a list has come of it.
+        self.called_at = 0.0
+        self.is_answered = False
         self.task: asyncio.Task[None] | None = None
 
     def follow(self) -> None:
@@ -148,7 +154,9 @@
             url += "&services=" + ",".join(quote(name, safe="") for name in self.services)
         why = "it ended"
         loop = asyncio.get_running_loop()
-        due = loop.time() + ANSWER_WAIT
+        self.called_at = loop.time()
+        self.is_answered = False
+        due = self.called_at + ANSWER_WAIT
         silence = _Silence(ANSWER_WAIT)
         try:
             connector = aiohttp.TCPConnector(force_close=True, happy_eyeballs_delay=None)
@@ -175,12 +183,40 @@
             why = "a bug"
         finally:
             silence.timer.cancel()
-        # The same end once more says nothing new, and a line for each would hide what does.
-        level = logging.DEBUG if why == self.told_why else logging.INFO
-        self.told_why = why
-        log.log(level, "watch over", extra={"pairs": {"why": why, "version": self.version}})
+        self._log_end(why)
         return silence.timeout.expired()
 
+    def _log_end(self, why: str) -> None:
+        """One line for the end of a watch or call.
+
+        The same end once more says nothing new, and a line for each would hide what does; a call that waited
+        long is told each time, for waits add up to changes that come too late.
+        """
+        now = asyncio.get_running_loop().time()
+        waited = now - self.called_at
+        pairs = {"why": why, "version": self.version, "address": self.address}
+        has_waited_long = not self.is_answered and waited > WAITED_LONG
+        if not self.is_answered:
+            self.failing_since = self.failing_since if self.failed_calls else self.called_at
+            self.failed_calls += 1
+            pairs |= {"call_ms": int(waited * 1000), "failed_calls": self.failed_calls}
+        level = logging.DEBUG if why == self.told_why and not has_waited_long else logging.INFO
+        self.told_why = why
+        log.log(level, "watch over", extra={"pairs": pairs})
+
+    def _log_answer(self, told: ServerList) -> None:
+        """One line for the first list of each call, with what came before it."""
+        if self.is_answered:
+            return
+        self.is_answered = True
+        now = asyncio.get_running_loop().time()
+        pairs = {"version": told.version, "whole": told.whole, "servers": len(told.servers)}
+        pairs |= {"call_ms": int((now - self.called_at) * 1000), "failed_calls": self.failed_calls}
+        if self.failed_calls:
+            pairs["without_list_ms"] = int((now - self.failing_since) * 1000)
+        self.failed_calls = 0
+        log.info("list answered", extra={"pairs": pairs})
+
     def _told(self, objects: Objects, piece: bytes) -> int:
         """How many objects are whole with this piece, each told before the next one is looked at.
 
@@ -194,6 +230,7 @@
             is_back = not told.whole and told.version < self.version
             self.version = -1 if is_back else told.version
             self.told_why = ""
+            self._log_answer(told)
             self.on_list(told)
             if is_back:
                 # Discovery was set back: these are not the changes since the list held, and the rest of them
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -33,6 +33,7 @@
         "left",
         "name",
         "request_id",
+        "server",
         "timer",
         "trip",
         "trip_number",
@@ -53,6 +54,8 @@
         self.left = False
         self.choice: asyncio.Future[Send | Answer] = loop.create_future()
         self.trip_number = 0
+        # Whom the last attempt was for.
+        self.server: ServerId = ""
         # The trip under way, and whether it is to be stopped.
         self.trip: asyncio.Task[TripEnd] | None = None
         self.withdrawn = False
@@ -141,7 +144,11 @@
                 while True:
                     choice = await inquiry.choice
                     if isinstance(choice, Answer):
+                        if log.isEnabledFor(logging.DEBUG):
+                            pairs = {"request": call.request_id, "status": choice.status}
+                            log.debug("answered by decision", extra={"pairs": pairs})
                         return choice
+                    inquiry.server = choice.server
                     if inquiry.withdrawn:
                         end = TripEnd(Outcome.MOOT, 0)
                     else:
@@ -226,6 +233,10 @@
         number = inquiry.trip_number
         inquiry.trip_number += 1
         inquiry.withdrawn = False
+        if log.isEnabledFor(logging.DEBUG):
+            pairs = {"request": inquiry.request_id, "attempt": number, "server": inquiry.server}
+            pairs |= {"outcome": end.outcome.value, "took_ms": end.latency_us // 1000, "last": over}
+            log.debug("attempt ended", extra={"pairs": pairs})
         self.balancer.trip_ended(inquiry.name, number, end.outcome, end.latency_us, over, end.report)
 
     def _left(self, inquiry: Inquiry) -> None:
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -48,6 +48,9 @@
 # whether or not a watch is open, from the moment it is back: no wait may use up the grace of a drain.
 REWATCH_LEAST, REWATCH_MOST = 0.1, 0.4
 
+# How many servers a log line names at the most.
+SERVERS_NAMED = 8
+
 # What a configuration read anew can't change while the node runs.
 RESTART_KEYS = ("name", "host", "port", "operator", "peers")
 
@@ -56,6 +59,12 @@
     return {track.name: None for track in settings.tracks if track.effect is Effect.IRREVERSIBLE}
 
 
+def _some(servers: Sequence[ServerId]) -> str:
+    """The first few by name, the others by their number."""
+    more = len(servers) - SERVERS_NAMED
+    return ",".join(servers[:SERVERS_NAMED]) + (f",+{more}" if more > 0 else "")
+
+
 class Phase(enum.Enum):
     """Where a node is in its life."""
 
@@ -314,7 +323,18 @@
         self.rewatch_wait = REWATCH_LEAST
         kind = kind or (ListKind.WHOLE if told.whole else ListKind.CHANGES)
         gone = [Entry(server, "", 0, Condition.GONE, 0) for server in lost]
+        before = dict.fromkeys(self.balancer.servers)
         self.balancer.servers_listed(kind, gone + [listed.entry for listed in told.servers])
+        self._log_changes(before, told.version)
+
+    def _log_changes(self, before: dict[ServerId, None], version: int) -> None:
+        """One line for a list that takes servers out of use or brings new ones into it."""
+        after = self.balancer.servers
+        left = [server for server in before if server not in after]
+        joined = [server for server in after if server not in before]
+        if left or joined:
+            pairs = {"version": version, "left": _some(left), "joined": _some(joined), "in_use": len(after)}
+            log.info("servers changed", extra={"pairs": pairs})
 
     def _list_failed(self) -> None:
         if self.phase is Phase.ENDED:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -312,7 +312,8 @@
         ):
             _, discovery = await self.watched(watch(line, b"{" + b" " * 2000), pushed=True)
             await until(lambda: len(discovery.seen) >= 2)
-        self.assertIn("1000 bytes", str(logs.records[0].__dict__["pairs"]))
+        ends = [record for record in logs.records if record.getMessage() == "watch over"]
+        self.assertIn("1000 bytes", str(ends[0].__dict__["pairs"]))
         self.assertNotIn("after=", discovery.seen[1].line)
 
 
