One call for the list is due at a time: waits from before a move are no series of their own

Cause: Balancer.list_failed set a timer for each failure and a move made a call beside them, so that each call made by a move left one more series of waits, none of which ended the others. Node._list_failed did the same where the list is pushed.

The module keeps when the next call is due, and a timer of before is passed over; the node keeps one handle.

Ruled out: Discovery.move itself, which ended the call before.

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -244,6 +244,7 @@
         self._take(settings)
         self.list_wait = self.list_wait_least
         self.list_is_failing = False
+        self.list_due = 0
         self.part = 1.0
         # What the list says, who is left out by hand and since when, and the rest: who may be sent to.
         self.listed: dict[ServerId, Entry] = {}
@@ -272,7 +273,7 @@
         self.pace = 0.0
         host.wake("sweep", SWEEP)
         if settings.list_is_asked:
-            host.wake("list", int(self._chance() * min(settings.ask_every_us * 4 // 5, 5 * SECOND)))
+            self._wake_for_list(int(self._chance() * min(settings.ask_every_us * 4 // 5, 5 * SECOND)))
 
     # Settings.
 
@@ -430,7 +431,7 @@
             self._sweep(now)
         elif token == "held":
             self._watch_held(now)
-        elif token == "list":
+        elif token == "list" and now + self.margin >= self.list_due:
             self.host.follow_list()
         elif token.startswith("choose "):
             inquiry = self.inquiries.get(int(token[7:]))
@@ -657,9 +658,14 @@
             # One line for each series of failures: more would hide what comes between them.
             self.host.log(f"list of servers failed; asking again in about {self.list_wait // 1000} ms")
         self.list_is_failing = True
-        self.host.wake("list", int(self.list_wait * (0.5 + self._chance())))
+        self._wake_for_list(int(self.list_wait * (0.5 + self._chance())))
         self.list_wait = min(2 * self.list_wait, self.list_wait_most)
 
+    def _wake_for_list(self, wait: int) -> None:
+        """One call is due at a time: what was to be made before gives way, or calls would go on in series."""
+        self.list_due = self.host.now + wait
+        self.host.wake("list", wait)
+
     # Admission.
 
     def _within_share(self, tenant: str, now: int) -> bool:
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -121,6 +121,7 @@
         self.host.balancer = self.inquiries.balancer = self.balancer
         self.rewatch_wait = REWATCH_LEAST
         self.draws = 0
+        self.rewatch: asyncio.TimerHandle | None = None
         # Whether a list was ever told, as of old, by the process before or by discovery.
         self.has_list = False
         self.door: Door | None = None
@@ -345,5 +346,9 @@
         # Where the list is to come by itself the module does not ask for it: the watch is the network's.
         self.draws += 1
         chance = crc32(f"{self.config.seed} watch {self.draws}".encode()) / 2**32
-        asyncio.get_running_loop().call_later(self.rewatch_wait * (0.5 + chance), self.discovery.follow)
+        if self.rewatch is not None:
+            # One wait at a time, however many failures there were.
+            self.rewatch.cancel()
+        wait = self.rewatch_wait * (0.5 + chance)
+        self.rewatch = asyncio.get_running_loop().call_later(wait, self.discovery.follow)
         self.rewatch_wait = min(2 * self.rewatch_wait, REWATCH_MOST)
