The first call for the list is spread over 1.5 s, so that one that fails leaves time for a second

Cause: the first call was spread over 5 s where asking is rare (Balancer.__init__). 5 s, a call that fails after 3 s and a wait of 1.2 s are 9.2 s of the 6 that a change has once a call has failed.

Why this mends it: 1.5 + 3.05 + 1.2 = 5.75 s. 200 nodes that start in one moment ask over 1.5 s instead of 5; a discovery that serves all of them in 3.2 s makes the last one wait 1.7 s, under the 3 s after which it fails calls (worked out, not measured).

--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -58,6 +58,9 @@
 LOW_CAPS = 2.5
 # From what part of its trips on a server is taken to fail, whatever its failures look like.
 MOSTLY = 0.5
+# Over how long the first calls for the list are spread: one that fails 3 s later leaves time for another
+# within the 6 s after which a change counts as told.
+FIRST_CALL_SPREAD = 3 * SECOND // 2
 # The longest rest.
 REST_MOST = 16 * SECOND
 # The largest step of the bucket's rate, and how many times as large its steps up are while a node is calm.
@@ -273,7 +276,7 @@
         self.pace = 0.0
         host.wake("sweep", SWEEP)
         if settings.list_is_asked:
-            self._wake_for_list(int(self._chance() * min(settings.ask_every_us * 4 // 5, 5 * SECOND)))
+            self._wake_for_list(int(self._chance() * min(settings.ask_every_us * 4 // 5, FIRST_CALL_SPREAD)))
 
     # Settings.
 
