Calls at discovery overlap once one has hung, and a watch left behind is read until the new one tells

What callers saw: requests went to servers that had drained, for over 3.6 s past the grace at four of four node processes, where calls made after discovery's return failed late, at once and late; and for 3 s and on at a node to whose watch a change was written while it read a new configuration.

Cause: Discovery._watch made one call after another. Each wait was bounded (1.2 s of the module, 3.05 s for an answer), their sum was not: 3.0 + 1.2 + 3.0 + 1.2 + 0 + 1.2 is 9.6 s of the 6 that a change has. And each end that the node itself made, of a call that hung or of a watch at a move, threw away what was written and not read, though that counts as told.

Ruled out: the wall clock (no use of it on this path), attempts chosen before a drain was told (asked before the first byte).

Why it works: once a call has hung, or the list has moved, a further call is made 1.5 s after the last one, two out at the most, so that a lost call holds back none that is not. A call that hangs stays open until another is answered or its place is needed; what failed after a long wait is made again at once. At a move the old watch and calls stay open until the new place has told. coraldeal/list_calls.py decides, without I/O; net/list_call.py is one call; net/discovery.py puts them together.

--- /dev/null
+++ b/coraldeal/list_calls.py
@@ -0,0 +1,96 @@
+"""When a node calls discovery, how many calls it keeps out at once, and which gives way. No I/O, no clock.
+
+A change of the list has to be known 6 s after discovery has it and can be reached, whatever calls failed
+before. Calls are therefore not made one after another, each with a bounded wait of its own: once a call has
+hung, a further one is made beside it at even distances, so that one that is lost holds back none that is not.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from zlib import crc32
+
+
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """The distances of calls, in seconds, and how many may be out."""
+
+    # From when on a call without an answer has hung. Discovery fails by itself what it can't answer in 3 s.
+    hung_after: float
+    # The distance of a further call beside calls that hang.
+    further_after: float
+    # How many calls may wait for their answers at once.
+    most_out: int
+    # Whether a further call is made so soon although no call has hung yet.
+    always_further: bool = False
+    # The shortest wait behind a call that failed at once while others are out, and how far it is spread.
+    least_wait: float = 0.4
+    spread: float = 0.4
+    # How far calls made again at once are spread: many nodes may have been failed in one moment.
+    spread_at_once: float = 0.3
+    # A call that failed after so long has spared discovery as much as a wait would have.
+    waited_long: float = 1.5
+
+
+class CallPlan:
+    """The calls of one node that wait for their answers, by the numbers that their maker gave them."""
+
+    def __init__(self, limits: CallLimits, seed: str) -> None:
+        self.limits = limits
+        self.seed = seed
+        self.draws = 0
+        # When each call that is out began, the oldest first.
+        self.out: dict[int, float] = {}
+        self.last_begun = 0.0
+        # Whether a call has hung since the last answer, or the list moved: an answer may be long in coming.
+        self.suspects = False
+
+    def begun(self, call: int, now: float) -> None:
+        self.out[call] = self.last_begun = now
+
+    def moved(self) -> None:
+        """Calls made before were for another place: none of them is waited for any more."""
+        self.out.clear()
+        self.suspects = True
+
+    def answered(self) -> None:
+        """A list has come: whatever else is out is not needed."""
+        self.out.clear()
+        self.suspects = False
+
+    def further_at(self) -> float | None:
+        """When one more call is due beside those that are out; None: none is out."""
+        if not self.out:
+            return None
+        limits = self.limits
+        soon = self.suspects or limits.always_further
+        at = self.last_begun + (limits.further_after if soon else limits.hung_after)
+        if len(self.out) >= limits.most_out:
+            at = max(at, next(iter(self.out.values())) + limits.hung_after)
+        return at
+
+    def make_room(self, now: float) -> int | None:
+        """A further call is about to be made: which call gives way to it; None: there is room."""
+        self.suspects = True
+        oldest = next(iter(self.out), None)
+        if oldest is None or len(self.out) < self.limits.most_out:
+            return None
+        del self.out[oldest]
+        return oldest
+
+    def failed(self, call: int, now: float) -> float | None:
+        """A call ended without an answer: when the next one is due; None: after its caller's own wait."""
+        began = self.out.pop(call, None)
+        if began is None:
+            return self.further_at()
+        limits = self.limits
+        has_hung = now - began > limits.waited_long
+        self.suspects = self.suspects or has_hung
+        if has_hung:
+            soon = now + limits.spread_at_once * self._chance()
+            return max(soon, self.last_begun + limits.further_after) if self.out else soon
+        return now + limits.least_wait + limits.spread * self._chance() if self.out else None
+
+    def _chance(self) -> float:
+        self.draws += 1
+        return crc32(f"{self.seed} call {self.draws}".encode()) / 2**32
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -1,36 +1,38 @@
-"""The list of servers, followed by a watch at discovery."""
+"""The list of servers, followed by watches at discovery. `list_calls` decides when a call is made."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
-from typing import Any, TypeVar
-from urllib.parse import quote
+from typing import Any
 from zlib import crc32
 
-import aiohttp
-from yarl import URL
-
-from coraldeal.net.wire import LIST_PATH, Objects, ServerList
+from coraldeal.list_calls import CallLimits, CallPlan
+from coraldeal.net.list_call import CallEnd, CallTimes, ListCall
+from coraldeal.net.wire import ServerList, list_url
 
 log = logging.getLogger(__name__)
 
-T = TypeVar("T")
-
 # What a watch that fell silent has missed counts as told 6 s after it fell silent, and any change 6 s after
 # discovery had it and could be reached, whatever failed before: the sums stand in docs/endings.md.
 # Discovery sends a line every 2 s; when one is missing the watch is dead.
 SILENCE = 2.5
-# How long a call may wait for its answer: discovery works through calls in turn, and fails by itself what
-# waited for 2 to 3 s. A call that failed so late has spared discovery as much as a silence.
+# How long a call may wait for its answer before it has hung: discovery works through calls in turn, and fails
+# by itself what waited for 2 to 3 s.
 ANSWER_WAIT = 3.05
-WAITED_LONG = 1.5
-# A piece of an object, in bytes, that is a sign of life by its length: a long list may take its time.
-LONG_PIECE = 16 * 1024
-# How long a connection may take to come up: one that does not must leave time for a further try within
-# these 6 s, and where lists are pushed within the grace of a drain that is told as the list is back.
+# A call that hangs is left open, since an answer that was written counts as told, but no longer than this.
+LONGEST_CALL = 10.0
+# How long a connection may take to come up.
 CONNECT_WAIT = 0.6
+# The distance of calls beside such as hang, and how many may be out: at discovery, which all nodes share, and
+# at a node's own agent, whose word counts at once when it is back.
+FURTHER_AFTER, MOST_OUT = 1.5, 2
+FURTHER_AFTER_AT_AGENT, MOST_OUT_AT_AGENT = 0.75, 5
+# A call that failed after so long is made again at once.
+WAITED_LONG = 1.5
+# How many calls and watches at places where the list was before are left open until the new one has told.
+MOST_SUPERSEDED = 4
 # All followers of a relay lose it in one moment; each goes on at another after a part of this, by chance.
 GO_ON_WITHIN = 0.5
 
@@ -42,26 +44,20 @@
     return in_own_order(sources, seed)
 
 
-class _Silence:
-    """Ends a watch that has brought nothing for its time."""
-
-    def __init__(self, seconds: float) -> None:
-        self.loop = asyncio.get_running_loop()
-        self.timeout = asyncio.timeout(None)
-        self.timer = self.loop.call_later(seconds, self._over)
-
-    def put_off(self, seconds: float) -> None:
-        self.timer.cancel()
-        self.timeout.reschedule(None)
-        self.timer = self.loop.call_later(seconds, self._over)
-
-    def _over(self) -> None:
-        """A turn later: in a loop that was late, what has come meanwhile is read in this very turn."""
-        self.timeout.reschedule(self.loop.time())
+def _limits(has_agent: bool, has_sources: bool) -> CallLimits:
+    """By where the list comes from; of several sources one is asked at a time."""
+    further, most = (FURTHER_AFTER_AT_AGENT, MOST_OUT_AT_AGENT) if has_agent else (FURTHER_AFTER, MOST_OUT)
+    return CallLimits(
+        hung_after=ANSWER_WAIT,
+        further_after=further,
+        most_out=1 if has_sources else most,
+        always_further=has_agent,
+        waited_long=WAITED_LONG,
+    )
 
 
 class Discovery:
-    """At most one watch at a time; each that ends is told once."""
+    """Keeps one watch open; each end of a watch or of a series of calls is told once."""
 
     def __init__(
         self,
@@ -72,6 +68,7 @@
         services: Sequence[str] = (),
         sources: Sequence[str] = (),
         seed: str = "",
+        has_agent: bool = False,
     ) -> None:
         # Several sources of the same list, in an order of this node's own: a watch that ends goes on at the
         # next one, from the version held. None: there is the one address.
@@ -83,168 +80,197 @@
         self.read = read
         self.on_list = on_list
         self.on_failure = on_failure
+        # Of the list held, as the place counts that it is asked for now; -1: the whole list is asked for.
         self.version = -1
-        # Whether a watch fell silent and no call was answered since.
-        self.silent = False
-        # Why the last watch ended, as it was told in the log; empty once a list has come since.
+        self.plan = CallPlan(_limits(has_agent, bool(sources)), seed)
+        # Calls and the watch at the present address, by number, and what is left open at former ones.
+        self.calls: dict[int, ListCall] = {}
+        self.superseded: dict[int, ListCall] = {}
+        self.watch: ListCall | None = None
+        self.made = 0
+        # The one next call that is due.
+        self.due: asyncio.TimerHandle | None = None
+        # How many sources in a row have failed.
+        self.failed_sources = 0
+        # Why the last call or watch ended, as it was told in the log; empty once a list has come since.
         self.told_why = ""
         # How many calls have failed since a list last came, and since when.
         self.failed_calls = 0
         self.failing_since = 0.0
-        # When the last call was made, and whether a list has come of it.
-        self.called_at = 0.0
-        self.is_answered = False
-        self.task: asyncio.Task[None] | None = None
 
     def follow(self) -> None:
-        """Watch the list from the version held, unless a watch is on."""
-        if self.address is not None and (self.task is None or self.task.done()):
-            self.task = asyncio.get_running_loop().create_task(self._watch())
+        """Watch the list from the version held, unless that is done or a call for it is out."""
+        if self.address is not None and not self.calls:
+            self._call()
 
     def move(self, address: str | None) -> None:
-        """Watch another address from now on; the list held stays until that one has told its own.
+        """Watch another address from now on; what the old one still tells holds until the new one has told.
 
         Its versions need not count on from those of the old one, so the whole list is asked for.
         """
         self.address = address
         self.version = -1
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
+        self.watch = None
+        self.superseded |= self.calls
+        self.calls = {}
+        self.plan.moved()
+        most = 0 if address is None else MOST_SUPERSEDED
+        for number in list(self.superseded)[: max(0, len(self.superseded) - most)]:
+            self.superseded.pop(number).cancel()
         self.follow()
 
     async def close(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
-
-    async def _watch(self) -> None:
-        # A watch that fell silent is opened anew at once, each time: it took `SILENCE`, which spares
-        # discovery enough, and with a wait on top the changes that it missed came too late. So is, once, a
-        # call that waited long behind a silence and failed. Any other end is told; where there are several
-        # sources, when each of them has failed.
-        loop = asyncio.get_running_loop()
-        again, failed = True, 0
-        while again:
-            began, version = loop.time(), self.version
-            fell_silent = await self._fell_silent()
-            again = fell_silent or (self.silent and loop.time() - began > WAITED_LONG)
-            self.silent = fell_silent
-            if self.sources:
-                failed = 0 if fell_silent or self.version != version else failed + 1
-                again = failed < len(self.sources)
-                await self._go_on()
-        # From the loop, when this watch is done, so that the next one may begin at once.
-        loop.call_soon(self.on_failure)
-
-    async def _go_on(self) -> None:
-        """To the next source, spread by chance: whoever followed the one before goes on too."""
+        if self.due is not None:
+            self.due.cancel()
+        open_calls = [*self.calls.values(), *self.superseded.values()]
+        for call in open_calls:
+            call.cancel()
+        await asyncio.gather(*(call.task for call in open_calls), return_exceptions=True)
+
+    # Making calls.
+
+    def _call(self) -> None:
         assert self.address is not None
+        now = asyncio.get_running_loop().time()
+        self.made += 1
+        url = list_url(self.address, self.services, self.version)
+        answer_wait = ANSWER_WAIT if self.sources else LONGEST_CALL
+        times = CallTimes(CONNECT_WAIT, ANSWER_WAIT, SILENCE, answer_wait)
+        call = ListCall(self.made, self.address, url, self.version, times, self)
+        self.calls[call.number] = call
+        self.plan.begun(call.number, now)
+        self._schedule(self.plan.further_at())
+        call.start()
+
+    def _schedule(self, at: float | None) -> None:
+        """At most one next call is due: another time takes the place of the one before."""
+        if self.due is not None:
+            self.due.cancel()
+            self.due = None
+        if at is not None and not self.sources:
+            self.due = asyncio.get_running_loop().call_at(at, self._further)
+
+    def _further(self) -> None:
+        """One more call, beside those that hang."""
+        self.due = None
+        gives_way = self.plan.make_room(asyncio.get_running_loop().time())
+        if gives_way is not None:
+            self._count_failure(self.calls[gives_way], "it hung")
+            self.calls.pop(gives_way).cancel()
+        self._call()
+
+    # What calls tell.
+
+    def told(self, call: ListCall, told: ServerList, is_back: bool) -> None:
+        """A list, or changes of it, from the watch, from a call, or from where the list was before."""
+        if call.number in self.calls:
+            self.version = -1 if is_back else told.version
+            self.alive(call)
+            self._log_answer(call, told)
+            self.told_why = ""
+        elif call.number not in self.superseded:
+            return
+        self.on_list(told)
+
+    def alive(self, call: ListCall) -> None:
+        """The first answer at the present address: that call is the watch, and no other is needed."""
+        if self.watch is not None or call.number not in self.calls:
+            return
+        self.watch = call
+        self.plan.answered()
+        self._schedule(None)
+        del self.calls[call.number]
+        for other in [*self.calls.values(), *self.superseded.values()]:
+            other.cancel()
+        self.calls, self.superseded = {call.number: call}, {}
+
+    def unreadable(self, call: ListCall) -> None:
+        """The list held stays, and the whole of it is asked for next: changes may have been missed.
+
+        Where another source may be behind this one, only what changed since: its whole list may be older.
+        """
+        if not self.sources and call.number in self.calls:
+            self.version = -1
+
+    def ended(self, call: ListCall, end: CallEnd) -> None:
+        """A call or watch is over, not by this node's own doing."""
+        if self.superseded.pop(call.number, None) is not None:
+            pairs = {"why": end.why, "address": call.address}
+            log.debug("watch over, superseded", extra={"pairs": pairs})
+            return
+        if call.number not in self.calls:
+            # It ended in the moment in which it was cancelled.
+            return
+        self._log_end(call, end)
+        del self.calls[call.number]
+        now = asyncio.get_running_loop().time()
+        if self.watch is call:
+            self.watch = None
+            next_at = now if end.fell_silent else None
+        else:
+            next_at = self.plan.failed(call.number, now)
+        if self.sources:
+            self._go_on(call, end)
+        elif next_at is None:
+            self._schedule(None)
+            self.on_failure()
+        else:
+            self.plan.suspects = self.plan.suspects or end.fell_silent
+            self._schedule(next_at)
+
+    def _go_on(self, call: ListCall, end: CallEnd) -> None:
+        """To the next source, spread by chance: whoever followed the one before goes on too.
+
+        When each of them has failed in turn, that is told.
+        """
+        assert self.address is not None
+        has_told = call.version != call.asked_version
+        self.failed_sources = 0 if end.fell_silent or has_told else self.failed_sources + 1
         chance = crc32(f"{self.seed} {self.address} {self.version}".encode()) / 2**32
         self.address = self.sources[(self.sources.index(self.address) + 1) % len(self.sources)]
-        await asyncio.sleep(GO_ON_WITHIN * chance)
-
-    async def _fell_silent(self) -> bool:
-        """One watch, to its end; whether that was silence."""
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_WAIT)
-        url = f"http://{self.address}{LIST_PATH}?watch=1"
-        if self.version >= 0:
-            url += f"&after={self.version}"
-        if self.services:
-            url += "&services=" + ",".join(quote(name, safe="") for name in self.services)
-        why = "it ended"
-        loop = asyncio.get_running_loop()
-        self.called_at = loop.time()
-        self.is_answered = False
-        due = self.called_at + ANSWER_WAIT
-        silence = _Silence(ANSWER_WAIT)
-        try:
-            connector = aiohttp.TCPConnector(force_close=True, happy_eyeballs_delay=None)
-            async with (
-                silence.timeout,
-                aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
-                # As it stands: a comma within a name must not become one between two.
-                session.get(URL(url, encoded=True), allow_redirects=False) as answer,
-            ):
-                answer.raise_for_status()
-                self.silent = False
-                silence.put_off(max(SILENCE, due - loop.time()))
-                objects = Objects()
-                async for piece in answer.content.iter_any():
-                    # Only what is whole or long is a sign of life: an object that dribbles, or stops half-way
-                    # behind blanks of its own, must not keep a dead watch.
-                    if self._told(objects, piece) or not objects.begun or len(piece) >= LONG_PIECE:
-                        silence.put_off(SILENCE)
-        except (OSError, TimeoutError, aiohttp.ClientError) as error:
-            why = "it fell silent" if silence.timeout.expired() else f"{type(error).__name__}: {error}"
-        except Exception:
-            # A bug on the way to the module must not end the watching for good.
-            log.exception("watch failed")
-            why = "a bug"
-        finally:
-            silence.timer.cancel()
-        self._log_end(why)
-        return silence.timeout.expired()
-
-    def _log_end(self, why: str) -> None:
-        """One line for the end of a watch or call.
-
-        The same end once more says nothing new, and a line for each would hide what does; a call that waited
-        long is told each time, for waits add up to changes that come too late.
+        if self.failed_sources < len(self.sources):
+            wait = GO_ON_WITHIN * chance
+            asyncio.get_running_loop().call_later(wait, self.follow)
+        else:
+            self.failed_sources = 0
+            self.on_failure()
+
+    # Log.
+
+    def _count_failure(self, call: ListCall, why: str) -> None:
+        self.failing_since = self.failing_since if self.failed_calls else call.began_at
+        self.failed_calls += 1
+        self._log("list call failed", call, why)
+
+    def _log_end(self, call: ListCall, end: CallEnd) -> None:
+        if self.watch is call:
+            self._log("watch over", call, end.why)
+        else:
+            self._count_failure(call, end.why)
+
+    def _log(self, event: str, call: ListCall, why: str) -> None:
+        """The same end once more says nothing new, and a line for each would hide what does.
+
+        A call that waited long is told each time, for waits add up to changes that come too late.
         """
-        now = asyncio.get_running_loop().time()
-        waited = now - self.called_at
-        pairs = {"why": why, "version": self.version, "address": self.address}
-        has_waited_long = not self.is_answered and waited > WAITED_LONG
-        if not self.is_answered:
-            self.failing_since = self.failing_since if self.failed_calls else self.called_at
-            self.failed_calls += 1
+        waited = asyncio.get_running_loop().time() - call.began_at
+        pairs: dict[str, object] = {"why": why, "version": call.version, "address": call.address}
+        has_waited_long = self.watch is not call and waited > WAITED_LONG
+        if self.watch is not call:
             pairs |= {"call_ms": int(waited * 1000), "failed_calls": self.failed_calls}
         level = logging.DEBUG if why == self.told_why and not has_waited_long else logging.INFO
         self.told_why = why
-        log.log(level, "watch over", extra={"pairs": pairs})
+        log.log(level, event, extra={"pairs": pairs})
 
-    def _log_answer(self, told: ServerList) -> None:
-        """One line for the first list of each call, with what came before it."""
-        if self.is_answered:
+    def _log_answer(self, call: ListCall, told: ServerList) -> None:
+        """One line for the first list of a call, with what came before it."""
+        if call.has_told:
             return
-        self.is_answered = True
+        call.has_told = True
         now = asyncio.get_running_loop().time()
         pairs = {"version": told.version, "whole": told.whole, "servers": len(told.servers)}
-        pairs |= {"call_ms": int((now - self.called_at) * 1000), "failed_calls": self.failed_calls}
+        pairs |= {"call_ms": int((now - call.began_at) * 1000), "failed_calls": self.failed_calls}
         if self.failed_calls:
             pairs["without_list_ms"] = int((now - self.failing_since) * 1000)
         self.failed_calls = 0
         log.info("list answered", extra={"pairs": pairs})
-
-    def _told(self, objects: Objects, piece: bytes) -> int:
-        """How many objects are whole with this piece, each told before the next one is looked at.
-
-        What can't be read takes nothing back of what stands before it: that counts as told.
-        """
-        whole = objects.feed(piece)
-        count = 0
-        while text := self._readable(lambda _: next(whole, b""), piece):
-            count += 1
-            told = self._readable(self.read, text)
-            is_back = not told.whole and told.version < self.version
-            self.version = -1 if is_back else told.version
-            self.told_why = ""
-            self._log_answer(told)
-            self.on_list(told)
-            if is_back:
-                # Discovery was set back: these are not the changes since the list held, and the rest of them
-                # would never come.
-                raise aiohttp.ClientPayloadError(f"its versions went back to {told.version}")
-        return count
-
-    def _readable(self, read: Callable[[bytes], T], text: bytes) -> T:
-        try:
-            return read(text)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            # The list held stays, and the whole of it is asked for next: changes may have been missed. Where
-            # another source may be behind this one, only what changed since: its whole list may be older.
-            if not self.sources:
-                self.version = -1
-            why = f"unreadable, {type(error).__name__}: {error}, in {text[:60]!r}"
-            raise aiohttp.ClientPayloadError(why) from None
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -114,7 +114,13 @@
         self.offset_us = time.time_ns() // 1000 - clock()
         read = partial(read_list, offset_us=self.offset_us)
         self.discovery = Discovery(
-            config.discovery, read, self.take_list, self._list_failed, *self._lists(own), str(config.seed)
+            config.discovery,
+            read,
+            self.take_list,
+            self._list_failed,
+            *self._lists(own),
+            str(config.seed),
+            has_agent=not settings.list_is_asked,
         )
         self.host = LoopHost(self.inquiries, self.discovery)
         self.balancer = Balancer(self.host, settings, config.seed)
--- /dev/null
+++ b/tests/test_list_calls.py
@@ -0,0 +1,126 @@
+"""Calls at discovery in a world of numbers: however those before it failed, one is answered in time."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from heapq import heappop, heappush
+
+from coraldeal.list_calls import CallLimits, CallPlan
+from coraldeal.net import discovery
+
+# Seconds: a change counts as told so long after discovery is back, which fails by itself what has waited for
+# so long, and takes so long to answer, with the node's own work for it.
+TOLD_AT_THE_LATEST = 6.0
+CALL_TIMEOUT = 3.0
+ANSWER = 0.3
+# The longest wait of the module behind a call that failed at once, see `Balancer.list_failed`.
+LONGEST_WAIT = 1.2
+AT_ONCE, LATE, NEVER, ANSWERED = "at once", "late", "never", "answered"
+LASTS = {AT_ONCE: 0.01, LATE: CALL_TIMEOUT, NEVER: 1e9, ANSWERED: ANSWER}
+
+
+class Played:
+    """A plan, played against a discovery whose calls end as told until one is answered."""
+
+    def __init__(self, limits: CallLimits, seed: str) -> None:
+        self.plan = CallPlan(limits, seed)
+        self.now = 0.0
+        self.begun: list[float] = []
+        self.answered_at: float | None = None
+        self.events: list[tuple[float, int, str]] = []
+        self.due: float | None = 0.0
+
+    def play(self, outcomes: list[str], until: float) -> None:
+        """The outcomes of calls in turn, the last one for all further ones."""
+        while self.now < until and self.answered_at is None:
+            ends = self.events[0][0] if self.events else until
+            at = min(ends, until if self.due is None else max(self.due, self.now))
+            self.now = at
+            if at >= until:
+                return
+            if self.events and ends <= at:
+                _, number, outcome = heappop(self.events)
+                self._ended(number, outcome)
+            else:
+                self._begin(outcomes.pop(0) if len(outcomes) > 1 else outcomes[0])
+
+    def _begin(self, outcome: str) -> None:
+        gives_way = self.plan.make_room(self.now) if self.plan.out else None
+        self.events = [event for event in self.events if event[1] != gives_way]
+        number = len(self.begun)
+        self.begun.append(self.now)
+        self.plan.begun(number, self.now)
+        heappush(self.events, (self.now + LASTS[outcome], number, outcome))
+        self.due = self.plan.further_at()
+
+    def _ended(self, number: int, outcome: str) -> None:
+        if outcome == ANSWERED:
+            self.answered_at = self.now
+            return
+        at = self.plan.failed(number, self.now)
+        self.due = self.now + LONGEST_WAIT if at is None else at
+
+
+def limits() -> CallLimits:
+    return discovery._limits(has_agent=False, has_sources=False)
+
+
+class Chains(unittest.TestCase):
+    def test_three_calls_that_fail_leave_time_for_the_one_that_is_answered(self) -> None:
+        """A call made the moment before discovery is back is lost, and two of the next three hang at most."""
+        for kinds in itertools.product((AT_ONCE, LATE, NEVER), repeat=3):
+            if AT_ONCE not in kinds:
+                continue
+            for seed in range(20):
+                with self.subTest(kinds=kinds, seed=seed):
+                    played = Played(limits(), str(seed))
+                    played.play([LATE], 7.0)
+                    last = played.begun[-1]
+                    played.play([*kinds, ANSWERED], 60.0)
+                    assert played.answered_at is not None
+                    self.assertLess(played.answered_at - last, TOLD_AT_THE_LATEST)
+
+    def test_a_quick_outage_is_over_with_the_first_call_behind_it(self) -> None:
+        played = Played(limits(), "7")
+        played.play([AT_ONCE, ANSWERED], 60.0)
+        assert played.answered_at is not None
+        self.assertLessEqual(played.answered_at, LASTS[AT_ONCE] + LONGEST_WAIT + ANSWER)
+
+    def test_no_storm_however_calls_fail(self) -> None:
+        """A discovery that hangs gets a call each 1.5 s, one that refuses each 0.4 s at the most."""
+        longest = 60.0
+        for kind, least in ((AT_ONCE, 0.4), (LATE, 1.5), (NEVER, 1.5)):
+            with self.subTest(kind=kind):
+                played = Played(limits(), "7")
+                played.play([kind], longest)
+                self.assertLessEqual(len(played.begun), longest / least + 1)
+                self.assertLessEqual(len(played.plan.out), limits().most_out)
+
+    def test_a_call_that_waits_its_turn_is_not_doubled(self) -> None:
+        """Nothing has hung yet: a further call would only lengthen discovery's queue."""
+        played = Played(limits(), "7")
+        played.play([LATE], CALL_TIMEOUT - 0.01)
+        self.assertEqual(len(played.begun), 1)
+
+    def test_the_calls_of_a_place_left_do_not_count_at_the_next(self) -> None:
+        plan = CallPlan(limits(), "7")
+        for number in range(limits().most_out):
+            plan.begun(number, float(number))
+        plan.moved()
+        plan.begun(9, 5.0)
+        self.assertIsNone(plan.make_room(6.0))
+        self.assertEqual(plan.out, {9: 5.0})
+
+    def test_the_oldest_gives_way_and_none_before_it_has_hung(self) -> None:
+        plan, most = CallPlan(limits(), "7"), limits().most_out
+        for number in range(most):
+            plan.begun(number, number * 0.1)
+        due = plan.further_at()
+        assert due is not None
+        self.assertGreaterEqual(due, limits().hung_after)
+        self.assertEqual(plan.make_room(due), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
