A watch that ends is opened anew within 0.3 s: no wait on top of a call that may be slow

Cause: n2's watch was ended at 19.550 instead of telling version 4; the module waited 1.125 s; the call behind it took 2.980 s to be answered (23.655), with no failure and no other call of this node beside it. 4.1 s in all, of which the first is a wait that spares nobody: who ends watches is up.

Ruled out: calls made beside one that hangs (n2 had none out), a misread list (version 4 took the server out at once). Why it works: 0.3 s and a call of 3 s are 3.3 s; a watch that lived under 1 s still waits for the module. Test: test_a_watch_that_ends_instead_of_telling_is_opened_anew_without_a_wait failed before with 1.18 s against 0.4.

--- a/coraldeal/list_calls.py
+++ b/coraldeal/list_calls.py
@@ -28,8 +28,10 @@
     spread: float = 0.4
     # How far calls made again at once are spread: many nodes may have been failed in one moment.
     spread_at_once: float = 0.3
-    # A call that failed after so long has spared discovery as much as a wait would have.
+    # A call that failed after so long has spared discovery as much as a wait would have, as has a watch that
+    # lived so long.
     waited_long: float = 1.5
+    lived_long: float = 1.0
 
 
 class CallPlan:
@@ -91,6 +93,19 @@
             return max(soon, self.last_begun + limits.further_after) if self.out else soon
         return now + limits.least_wait + limits.spread * self._chance() if self.out else None
 
+    def watch_ended(self, opened: float, now: float, fell_silent: bool) -> float | None:
+        """When the next call is due behind a watch's end; None: after its caller's own wait.
+
+        Discovery may end a watch instead of telling a change, and the call that follows may be slow: a wait
+        before it would come on top.
+        """
+        if fell_silent:
+            self.suspects = True
+            return now
+        if now - opened < self.limits.lived_long:
+            return None
+        return now + self.limits.spread_at_once * self._chance()
+
     def _chance(self) -> float:
         self.draws += 1
         return crc32(f"{self.seed} call {self.draws}".encode()) / 2**32
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -206,7 +206,7 @@
         now = asyncio.get_running_loop().time()
         if self.watch is call:
             self.watch = None
-            next_at = now if end.fell_silent else None
+            next_at = self.plan.watch_ended(call.began_at, now, end.fell_silent)
         else:
             next_at = self.plan.failed(call.number, now)
         if self.sources:
@@ -215,7 +215,6 @@
             self._schedule(None)
             self.on_failure()
         else:
-            self.plan.suspects = self.plan.suspects or end.fell_silent
             self._schedule(next_at)
 
     def _go_on(self, call: ListCall, end: CallEnd) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -157,6 +157,25 @@
             )
         self.assertEqual(made, [4, 3, 2, 1])
 
+    async def test_a_watch_that_ends_instead_of_telling_is_opened_anew_without_a_wait(self) -> None:
+        loop, ended_at = asyncio.get_running_loop(), 0.0
+        line = json.dumps(server_list(2, False)).encode() + b"\n"
+
+        async def ends() -> None:
+            nonlocal ended_at
+            await asyncio.sleep(1.2)
+            ended_at = loop.time()
+
+        plays = [watch(line, then=ends), watch(line)]
+
+        async def play(seen: Seen, reader: Any, writer: Any) -> None:
+            await plays.pop(0)(seen, reader, writer)
+
+        _, discovery = await self.watched(play, rules={**SETTINGS["rules"], "ask_every_ns": 10 * 10**9})
+        await until(lambda: len(discovery.seen) == 2)
+        # The module's own wait is 0.4 s at the least.
+        self.assertLess(loop.time() - ended_at, 0.4)
+
     def test_the_sum_of_each_path_to_a_change_is_under_six_seconds(self) -> None:
         rules = {**SETTINGS["rules"], "ask_every_ns": 60 * 10**9}
         waits: list[int] = []
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -103,6 +103,16 @@
         played.play([LATE], CALL_TIMEOUT - 0.01)
         self.assertEqual(len(played.begun), 1)
 
+    def test_a_watch_that_ends_leaves_time_for_a_slow_call(self) -> None:
+        """Within the grace and 2 s: the wait before the call must not come on top of its 3 s."""
+        for seed in range(50):
+            due = CallPlan(limits(), str(seed)).watch_ended(0.0, 10.0, fell_silent=False)
+            assert due is not None
+            self.assertLess(due + CALL_TIMEOUT, 10.0 + 3.5)
+
+    def test_watches_that_end_at_once_are_not_opened_in_a_circle(self) -> None:
+        self.assertIsNone(CallPlan(limits(), "7").watch_ended(0.0, 0.1, fell_silent=False))
+
     def test_the_calls_of_a_place_left_do_not_count_at_the_next(self) -> None:
         plan = CallPlan(limits(), "7")
         for number in range(limits().most_out):
