The deadline told to a server is what is left when the attempt's first byte is written

What servers saw: behind a wait of 0.6 s for a connection, or a stand-still of 0.6 s, a client with 1.0 s in all had 0.4 s left and its server was told 0.995 s; 0.15 s of slack are allowed. It works on for nobody.

Cause: Inquiries._trip wrote the message when the server was chosen, before Servers.trip waited for a connection. The message is now made at its first byte, from the time of the choice and the client's own end. Bodies that are passed on keep their rule: their time runs from the last byte.

--- a/coraldeal/net/host.py
+++ b/coraldeal/net/host.py
@@ -44,7 +44,7 @@
         return clock()
 
     def send(self, inquiry: InquiryId, server: ServerId, timeout_us: int) -> None:
-        self._choose(inquiry, Send(server, timeout_us))
+        self._choose(inquiry, Send(server, timeout_us, self.now))
 
     def defer(self, inquiry: InquiryId, pause_us: int) -> None:
         self._choose(inquiry, deferral(pause_us))
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -17,10 +17,11 @@
 
 
 class Send(NamedTuple):
-    """The module's choice of a further trip."""
+    """The module's choice of a further trip: for how long from when on."""
 
     server: ServerId
     timeout_us: int
+    chosen_at_us: int
 
 
 class Inquiry:
@@ -29,6 +30,7 @@
     __slots__ = (
         "begun",
         "choice",
+        "due_us",
         "is_here",
         "left",
         "name",
@@ -61,6 +63,8 @@
         self.withdrawn = False
         # Whether something of that trip may have been written.
         self.begun = False
+        # Until when its client waits, by the node's clock.
+        self.due_us = 0
         # What ends it unanswered otherwise; None before it began.
         self.timer: asyncio.Timeout | None = None
 
@@ -138,6 +142,7 @@
             wait_us = left_us - unread_us
             if self.until is not None:
                 wait_us = min(wait_us, self.until - self.servers.clock())
+            inquiry.due_us = self.servers.clock() + wait_us
             async with asyncio.timeout(wait_us / 1e6) as timer:
                 inquiry.timer = timer
                 balancer.inquiry_arrived(name, call.track, call.tenant, left_us, call.repeat)
@@ -193,12 +198,18 @@
         self, inquiry: Inquiry, call: Call, choice: Send, wait_us: int, timer: asyncio.Timeout
     ) -> TripEnd:
         """One trip; where the body is still to come, times run from its last byte on."""
-        message = call.written(min(choice.timeout_us, wait_us))
         if call.rest is None:
+
+            def message() -> bytes:
+                """With the time left when its first byte is written: a connection may be long in coming."""
+                due_us = min(choice.chosen_at_us + choice.timeout_us, inquiry.due_us)
+                return call.written(due_us - self.servers.clock())
+
             careful = call.track in self.irreversible
             return await self.servers.trip(
                 choice.server, message, choice.timeout_us, careful=careful, may_begin=inquiry.begin
             )
+        first_piece = call.written(min(choice.timeout_us, wait_us))
         balancer = self.balancer
         assert balancer is not None
         balancer.body_coming(inquiry.name)
@@ -217,7 +228,7 @@
         try:
             return await self.servers.trip(
                 choice.server,
-                message,
+                first_piece,
                 min(choice.timeout_us, wait_us),
                 call=call,
                 on_body_sent=sent,
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -347,7 +347,7 @@
     async def trip(
         self,
         server: ServerId,
-        message: bytes,
+        message: bytes | Callable[[], bytes],
         timeout_us: int,
         is_probe: bool = False,
         call: Call | None = None,
@@ -357,6 +357,7 @@
     ) -> TripEnd:
         """One trip, from its connection to its end; cancelling it is stopping it.
 
+        `message` is asked for when it is written, where it can be: it tells the time left.
         `call`: one whose body is still to come; its time counts from that body's last byte. `careful`: it may
         not run twice, so no connection that its server may be closing will do. `may_begin` is asked right
         before the first byte, when nothing stands in its way but whether it is still wanted.
@@ -379,14 +380,14 @@
                     read_until_eof=True,
                     read_timeout=STALL,
                     read_bufsize=BODY_MOST,
-                    skip_payload=message.startswith(b"HEAD "),
+                    skip_payload=_written(message).startswith(b"HEAD "),
                 )
                 if not (target.listed and self.may_send(server)):
                     # It drains, was left out, or stands elsewhere now: told between choice and first byte.
                     return TripEnd(Outcome.MOOT, self.clock() - started)
                 if not may_begin():
                     return TripEnd(Outcome.MOOT, self.clock() - started)
-                if not self._write(connection, message):
+                if not self._write(connection, _written(message)):
                     raise ConnectionError("closed before the first byte")
                 handed_over = call is None
                 if call is not None:
@@ -556,6 +557,10 @@
         return *head, bytes(body), None
 
 
+def _written(message: bytes | Callable[[], bytes]) -> bytes:
+    return message if isinstance(message, bytes) else message()
+
+
 def _seen(task: asyncio.Task[Told]) -> None:
     """What it raised is seen: the trip that it read for has its outcome."""
     if not task.cancelled():
