Accepts that fail for a moment pause the listener for milliseconds, not for a second

What callers saw (measured by the operators on the landed program): one accept in 50 failing with ENFILE or ENOBUFS, 1,200 requests on new connections at 200 a second: 50 answered 200, 133 answered 504, 1,017 had no answer within 3 s.

Cause: asyncio's listener leaves its queue alone for 1 s after such an accept (ACCEPT_RETRY_DELAY), and the queue runs out of time. At the start a socket that could not be opened for a moment ended the process.

net/accepting.py accepts for all listeners: callers, the operators' door, the relay. A shortage pauses it for 2 ms, doubled to 0.1 s while it lasts, after making room; it is told once in 10 s and counted (accept_shortages among the door's figures where there was one). What broke in the queue (ECONNABORTED and the like) is passed over. At the listening's end the queue is taken also while the listener rests. An address is tried for 5 s while the system is short. The UDP socket for notes needs nothing: asyncio tells a failed send or receive to the carrier, which drops the note.

--- a/coraldeal/admin/listener.py
+++ b/coraldeal/admin/listener.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from coraldeal.admin.commands import Desk, answer
-from coraldeal.net.listening import listening_socket
+from coraldeal.net.accepting import Acceptor
+from coraldeal.net.listening import open_listening
 from coraldeal.net.unread import has_unread
 
 # The longest line, in bytes; how many seconds a caller may take for one; how many callers are kept at once.
@@ -13,6 +14,8 @@
 LINE_WAIT = 6.0
 CALLERS_MOST = 24
 BACKLOG = 64
+# Connections taken in one turn of the loop at the most.
+ACCEPT_AT_ONCE = 16
 
 
 class _Caller(asyncio.Protocol):
@@ -60,15 +63,16 @@
 
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
-        self.listener: asyncio.Server | None = None
+        self.listener: Acceptor | None = None
         # Those who have no answer yet, the oldest first, with the end of their time.
         self.callers: dict[_Caller, asyncio.TimerHandle] = {}
 
     async def open(self, host: str, port: int) -> None:
         """Listen; OSError where the address is taken."""
-        listening = listening_socket(host, port)
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: _Caller(self), sock=listening, backlog=BACKLOG)
+        listening = await open_listening(host, port)
+        listening.listen(BACKLOG)
+        self.listener = Acceptor(listening, lambda: _Caller(self), ACCEPT_AT_ONCE)
+        self.listener.start()
 
     def came(self, caller: _Caller) -> None:
         loop = asyncio.get_running_loop()
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -17,6 +17,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
+from coraldeal.net.accepting import Acceptor
 from coraldeal.net.bodies import (
     BODY_LARGEST,
     KEPT_ALL,
@@ -30,7 +31,7 @@
     read_little,
 )
 from coraldeal.net.figures import Figures
-from coraldeal.net.listening import listening_socket
+from coraldeal.net.listening import open_listening
 from coraldeal.net.servers import Rest, Spoilt
 from coraldeal.net.unread import has_left, has_unread, is_readable
 from coraldeal.net.wire import BODY_MOST, READY_PATH, Answer, BadCall, Call, read_call, track_of
@@ -167,6 +168,7 @@
         figures: Figures,
     ) -> None:
         self.figures = figures
+        self.make_room = make_room
         # The patience of each track.
         self.tracks = tracks
         self.live = live
@@ -184,7 +186,7 @@
         self.at_once = ACCEPT_AT_ONCE
         # The listening socket, kept open while another process of the node accepts.
         self.listening: socket.socket | None = None
-        self.listener: asyncio.Server | None = None
+        self.listener: Acceptor | None = None
 
     async def listen(
         self, host: str, port: int, listening: socket.socket | None = None, shared: bool = False
@@ -194,19 +196,9 @@
         `shared`: a process started later may listen on the same address even if it was not handed the socket.
         """
         if listening is None:
-            listening = listening_socket(host, port, shared)
+            listening = await open_listening(host, port, shared)
         self.listening = listening
-        await self._accept()
-
-    async def _accept(self) -> None:
-        if self.listening is None or self.listener is not None:
-            return
-        loop = asyncio.get_running_loop()
-        # What the loop closes with its listener is a copy: the queue lives on with the other.
-        self.listener = await loop.create_server(
-            self.server, sock=self.listening.dup(), backlog=self.at_once
-        )
-        self.listening.listen(BACKLOG)
+        self.accept(True)
 
     def descriptor(self) -> int:
         """What another process needs to accept from the same queue; OSError if it is closed."""
@@ -216,15 +208,15 @@
 
     def accept(self, on: bool) -> None:
         """Take new connections, or leave those in the queue to another process that has it."""
-        if on:
-            self.accepting = asyncio.get_running_loop().create_task(self._accept())
-        elif self.listener is not None:
-            loop, listener, self.listener = asyncio.get_running_loop(), self.listener, None
-            for near in listener.sockets:
-                loop.remove_reader(near)
-            # What was accepted in this turn becomes a connection in the next: a listener closed by then would
-            # drop it.
-            loop.call_soon(listener.close)
+        if not on:
+            if self.listener is not None:
+                self.listener.close()
+                self.listener = None
+        elif self.listening is not None and self.listener is None:
+            self.listening.listen(BACKLOG)
+            # What the acceptor closes is a copy: the queue lives on with the other.
+            self.listener = Acceptor(self.listening.dup(), self.server, self.at_once, self.make_room)
+            self.listener.start()
 
     async def stop_listening(self) -> None:
         """No new connections; those that have brought no request for long are closed.
@@ -232,11 +224,17 @@
         Those that the system has already taken into its queue are taken first: closing would reset them.
         """
         # By turns of the loop, not by time: a process that stood still would take none of a full queue.
+        listener = self.listener
         for _ in range(BACKLOG // self.at_once):
-            if self.listener is None or not is_readable(self.listening):
+            if listener is None or not is_readable(self.listening):
                 break
+            # Also while it rests for a shortage.
+            listener.take()
             await asyncio.sleep(0)
         self.accept(False)
+        while listener is not None and listener.coming:
+            # They are taken, and become connections in the next turns.
+            await asyncio.sleep(0)
         if self.listening is not None:
             self.listening.close()
             self.listening = None
--- a/coraldeal/net/desk.py
+++ b/coraldeal/net/desk.py
@@ -31,8 +31,11 @@
         if carrier is not None:
             passed_over = carrier.unreadable + carrier.unknown
             notes = {"notes_passed_over": passed_over, "notes_unsent": carrier.unsent}
+        listener = node.callers.listener
+        shortages = 0 if listener is None else listener.shortages
         return {
             **notes,
+            **({"accept_shortages": shortages} if shortages else {}),
             "passed": counts.satisfied,
             "dropped": counts.deferred,
             "bad_gateway": counts.given_up,
--- a/coraldeal/relay/server.py
+++ b/coraldeal/relay/server.py
@@ -15,7 +15,8 @@
 from aiohttp.web_protocol import RequestHandler
 
 from coraldeal.config import SettingsError
-from coraldeal.net.listening import listening_socket
+from coraldeal.net.accepting import Acceptor
+from coraldeal.net.listening import open_listening
 from coraldeal.net.wire import LIST_PATH, READY_PATH
 from coraldeal.operator import RelayTable
 from coraldeal.relay.link import Link, clock
@@ -149,7 +150,7 @@
         # Bytes and objects told, for the line that tells how things stand.
         self.bytes_told = self.objects_told = 0
         self.server: _Server | None = None
-        self.listener: asyncio.Server | None = None
+        self.listener: Acceptor | None = None
 
     # From start to end.
 
@@ -168,12 +169,12 @@
             await self.close()
 
     async def listen(self) -> None:
-        loop = asyncio.get_running_loop()
         host, _, port = self.table.listen.rpartition(":")
-        near = listening_socket(host.strip("[]"), int(port))
+        near = await open_listening(host.strip("[]"), int(port))
         self.server = _Server(self._handle, self._connected)
-        self.listener = await loop.create_server(self.server, sock=near, backlog=ACCEPT_AT_ONCE)
         near.listen(BACKLOG)
+        self.listener = Acceptor(near, self.server, ACCEPT_AT_ONCE)
+        self.listener.start()
         pairs = {"listen": self.address, "sources": ",".join(self.route.addresses), "followers": self.limit}
         log.info("relay up, no list yet", extra={"pairs": pairs})
         self.link.start()
