A server's start that the node saw counts from then: no step of a wall clock moves slow start

What was seen (measured by the operators on the landed program): a server that joins 4 s after the node's start got 32 requests in its first second and 135 in 12 s; with the node's clock an hour ahead of the list's 89 and 1,063, an hour behind none in 12 s.

Cause: Node mapped Unix time onto its monotonic clock once, at its start, and read each startedAtMs by that (wire.read_list): wrong from the first step on, before the start, at it or later.

coraldeal/starts.py keeps the start of each server by the node's own clock: one that is told after the first list counts from the telling; startedAtMs only tells one start from another; a start that lies ahead counts as now. The same look elsewhere: the relay, notes, the handover (its starts go by the system's monotonic clock and hold) and logs compare no wall clocks.

--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -11,8 +11,7 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
-from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from zlib import crc32
 
 from coraldeal.balance import Balancer
@@ -25,6 +24,7 @@
 from coraldeal.net.inquiry import Inquiries
 from coraldeal.net.servers import Servers
 from coraldeal.net.wire import ServerList, read_list
+from coraldeal.starts import Starts
 
 if TYPE_CHECKING:
     from coraldeal.admin.listener import Door
@@ -59,6 +59,11 @@
     return {track.name: None for track in settings.tracks if track.effect is Effect.IRREVERSIBLE}
 
 
+def _read_list(values: Any) -> ServerList:
+    """Starts are by the wall clock as it is now: `Starts` says which of them count."""
+    return read_list(values, time.time_ns() // 1000 - clock())
+
+
 def _some(servers: Sequence[ServerId]) -> str:
     """The first few by name, the others by their number."""
     more = len(servers) - SERVERS_NAMED
@@ -110,12 +115,10 @@
         # A connection taken has its descriptor four turns before the one that makes room for it is closed: a
         # rush uses up a sixth of the reserve.
         self.callers.at_once = max(1, min(ACCEPT_AT_ONCE, self.reserve // 24))
-        # Unix time less this is the node's clock.
-        self.offset_us = time.time_ns() // 1000 - clock()
-        read = partial(read_list, offset_us=self.offset_us)
+        self.starts = Starts()
         self.discovery = Discovery(
             config.discovery,
-            read,
+            _read_list,
             self.take_list,
             self._list_failed,
             *self._lists(own),
@@ -155,7 +158,7 @@
         # What came in the first moments was kept waiting (`serve`) and comes now.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGHUP))
         if self.config.known is not None:
-            known = read_list(self.config.known, self.offset_us)
+            known = _read_list(self.config.known)
             self.discovery.version = known.version
             self.take_list(known, ListKind.REMEMBERED)
         if not self.config.settings.list_is_asked:
@@ -331,7 +334,8 @@
         kind = kind or (ListKind.WHOLE if told.whole else ListKind.CHANGES)
         gone = [Entry(server, "", 0, Condition.GONE, 0) for server in lost]
         before = dict.fromkeys(self.balancer.servers)
-        self.balancer.servers_listed(kind, gone + [listed.entry for listed in told.servers])
+        entries = self.starts.place((listed.entry for listed in told.servers), told.started_ms, clock())
+        self.balancer.servers_listed(kind, gone + entries)
         self._log_changes(before, told.version)
 
     def _log_changes(self, before: dict[ServerId, None], version: int) -> None:
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -10,12 +10,13 @@
 import re
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import quote
 
 from yarl import URL
 
-from coraldeal.interface import Condition, Entry, Outcome
+from coraldeal.interface import Condition, Entry, Outcome, ServerId
 
 if TYPE_CHECKING:
     from coraldeal.net.bodies import Body
@@ -132,6 +133,8 @@
     version: int
     whole: bool
     servers: list[Listed]
+    # When each started, in Unix milliseconds as the list words it, 0 for long ago.
+    started_ms: Mapping[ServerId, int] = MappingProxyType({})
 
 
 def _duration_us(text: str) -> int:
@@ -293,10 +296,11 @@
 
 
 def read_list(values: Any, offset_us: int) -> ServerList:
-    """Discovery's list. `offset_us` turns Unix time into the node's clock; 0 stays 0, for long ago."""
+    """Discovery's list. Unix time less `offset_us` is the node's clock; 0 stays 0, for long ago."""
     if isinstance(values, str | bytes):
         values = json.loads(values)
     servers = []
+    started_ms = {}
     for item in values["instances"]:
         started = int(item.get("startedAtMs") or 0)
         entry = Entry(
@@ -310,4 +314,5 @@
             kind=str(item.get("machineType") or ""),
         )
         servers.append(Listed(entry, str(item.get("hostPort") or "")))
-    return ServerList(int(values["generation"]), bool(values["reset"]), servers)
+        started_ms[entry.server] = started
+    return ServerList(int(values["generation"]), bool(values["reset"]), servers, started_ms)
