--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 lint: setup
 	$(VENV)/bin/ruff check coraldeal tests example
-	$(VENV)/bin/ruff format --check coraldeal/rig tests/rig
+	$(VENV)/bin/ruff format --check coraldeal tests example
 
 types: setup
 	$(VENV)/bin/mypy
--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -119,9 +119,7 @@
         return _Reader(values, f"{self.path}{key}.", defaults or self.defaults.get(key))
 
     def parts(self, key: str, defaults: dict[str, Any] | None = None) -> list[_Reader]:
-        return [
-            _Reader(item, f"{self.path}{key}[{i}].", defaults) for i, item in enumerate(self.items(key))
-        ]
+        return [_Reader(item, f"{self.path}{key}[{i}].", defaults) for i, item in enumerate(self.items(key))]
 
     def texts(self, key: str) -> tuple[str, ...]:
         """A list of texts that may be left out."""
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -329,9 +329,7 @@
         self.figures.ended(call.track, answer.status)
         # Nobody hears what else stands in the line of a client that has gone: each would cost a connection.
         gone = answer.status == 499 and has_left(request.transport)
-        return self._response(
-            answer, close=gone or (call.rest is not None and not request.content.is_eof())
-        )
+        return self._response(answer, close=gone or (call.rest is not None and not request.content.is_eof()))
 
     async def _pass_on(
         self, request: web.BaseRequest, call: Call, answer: Answer, rest: Rest, due_at: float
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -320,8 +320,7 @@
         """Before a connection is opened and after one was taken: idle ones go first."""
         over = self.callers.held + self.servers.held - self.limit
         while over > 0 and (
-            self.servers.close_one_idle()
-            or self.callers.close_one_idle(pressed=over > self.reserve // 2)
+            self.servers.close_one_idle() or self.callers.close_one_idle(pressed=over > self.reserve // 2)
         ):
             over -= 1
 
--- a/coraldeal/relay/server.py
+++ b/coraldeal/relay/server.py
@@ -389,4 +389,3 @@
                     if follower in self.followers and self.state.has_news(follower.cursor):
                         self._push(follower)
             await asyncio.sleep(ASK_EVERY)
-
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -545,9 +545,7 @@
     """A connection to a server that ends, or changes hands, as a trip begins or ends on it."""
 
     async def asyncSetUp(self) -> None:
-        self.servers = Servers(
-            clock, 3_000_000, 1_000_000, lambda: None, lambda server: True, Figures(())
-        )
+        self.servers = Servers(clock, 3_000_000, 1_000_000, lambda: None, lambda server: True, Figures(()))
         self.addAsyncCleanup(self.servers.close)
 
     def learn(self, stand_in: StandIn, name: str = "s") -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -111,6 +111,7 @@
     async def open(self, count: int) -> tuple[list[Carrier], list[list[tuple[int, Note]]]]:
         nodes = tuple(("127.0.0.1", port) for port in free_ports(count))
         came: list[list[tuple[int, Note]]] = [[] for _ in nodes]
+
         def into(found: list[tuple[int, Note]]) -> Callable[[int, Note], None]:
             return lambda peer, note: found.append((peer, note))
 
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -674,9 +674,7 @@
         if not self.draw(60):
             origin.trimmed = origin.version - self.draw(5)
 
-    def step(
-        self, site: Site, near: list[Site], origin: Origin, unheard: dict[Site | Reader, None]
-    ) -> None:
+    def step(self, site: Site, near: list[Site], origin: Origin, unheard: dict[Site | Reader, None]) -> None:
         """One act of a relay's link: the second two follow the first two, where these have heard."""
         if site.pipe is None:
             heard = [each for each in near if each not in unheard]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -63,9 +63,7 @@
 class Trips(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.opened = 0
-        self.servers = Servers(
-            clock, 3 * SECOND, SECOND // 5, self.count, lambda server: True, Figures(())
-        )
+        self.servers = Servers(clock, 3 * SECOND, SECOND // 5, self.count, lambda server: True, Figures(()))
         self.addAsyncCleanup(self.servers.close)
 
     def count(self) -> None:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -29,9 +29,7 @@
 
     def tell(self, **started_at: int | None) -> dict[str, int]:
         """Servers with their real starts, in microseconds of the own clock (None: long ago); as placed."""
-        told_ms = {
-            name: 0 if at is None else UNIX_MS + (at - NOW) // 1000 for name, at in started_at.items()
-        }
+        told_ms = {name: 0 if at is None else UNIX_MS + (at - NOW) // 1000 for name, at in started_at.items()}
         entries = [
             Entry(name, "z", 0, Condition.READY, 0 if at is None else max(1, at - self.wrong_by))
             for name, at in started_at.items()
