--- a/coraldeal/balance.py
+++ b/coraldeal/balance.py
@@ -1,23 +1,24 @@
-"""All decisions of coraldeal: which inquiries are let in, which server gets a trip, what ends an inquiry.
+"""All decisions of coraldeal: which inquiries are let in, which server gets an attempt, what ends an inquiry.
 
 How it is called: a protocol in front makes one `Balancer` for each node and calls one method for each thing
-that happens (`inquiry_arrived`, `trip_ended`, `servers_listed`, ...). The balancer acts by calling the
+that happens (`inquiry_arrived`, `attempt_ended`, `servers_listed`, ...). The balancer acts by calling the
 `Host` it was handed. Both sides of that border are in coraldeal/interface.py; nothing else goes in or out.
 
 The design (docs/design.md): core tracks pass unmetered; any other inquiry takes a token in a short wait or
 is dropped; it is then held until the next server of the rotation is under its learned cap.
 
 Mechanisms beside the design, six at most:
-1. rest: a server that does badly at a cap of one, worse than the fleet's median, or whose oldest trip is
+1. rest: a server that does badly at a cap of one, worse than the fleet's median, or whose oldest attempt is
    overdue, is passed over for a while;
-2. credit: a further trip goes only to a server whose answers earned it; trip time-outs come from answers;
+2. credit: a further attempt goes only to a server whose answers earned it; attempt time-outs come from
+answers;
 3. shares: what a tenant sends beyond its part of what a node sees is worth less and comes last;
-4. cold budget: a server that has just started gets trips at a rate within the rule;
+4. cold budget: a server that has just started gets attempts at a rate within the rule;
 5. part of the tier: with many nodes each rotates over a few servers, so that caps bind; while all goes well
    the servers of the node's own zone come first;
-6. books: where nodes may send messages, one of them keeps the book of each server: how many trips of all
-   nodes are there. Before a trip the next few of the rotation are asked for; the least full under its bound
-   gets it, and who found none is told of the next free place.
+6. books: where nodes may send messages, one of them keeps the book of each server: how many attempts of all
+   nodes are there. Before an attempt the next few of the rotation are asked for; the least full under its
+   bound gets it, and who found none is told of the next free place.
 """
 
 from __future__ import annotations
@@ -48,7 +49,8 @@
 SWEEP = SECOND // 4
 # What counts as in time, as a multiple of the mean when all is well.
 IN_TIME = 1.5
-# From what multiple of it on answers are so late that fewer trips are to wait there: twice what is in time.
+# From what multiple of it on answers are so late that fewer attempts are to wait there: twice what is in
+# time.
 FAR_LATE = 2 * IN_TIME
 # Up to what part of their time answers may take while a node is calm.
 CALM = 0.5
@@ -56,7 +58,7 @@
 SLOWER = 1.2
 # Up to what mean cap a node's caps are low.
 LOW_CAPS = 2.5
-# From what part of its trips on a server is taken to fail, whatever its failures look like.
+# From what part of its attempts on a server is taken to fail, whatever its failures look like.
 MOSTLY = 0.5
 # Over how long the first calls for the list are spread: one that fails 3 s later leaves time for another
 # within the 6 s after which a change counts as told.
@@ -78,9 +80,10 @@
 ENOUGH = 20
 # The part of their mean that is taken for calm at first.
 FIRST_PART = 0.6
-# How many servers of the rotation are asked about before a trip, and how many it has there at the least.
+# How many servers of the rotation are asked about before an attempt, and how many it has there at the least.
 ASKED, WIDTH_ASKED = 3, 5
-# How many trips of all nodes servers take at first and at the least, and how far that moves with an answer.
+# How many attempts of all nodes servers take at first and at the least, and how far that moves with an
+# answer.
 BOUND_START, BOUND_LEAST, BOUND_STEP = 4.0, 2.0, 0.02
 # How far a node's bound goes towards one that it is told of, and from what part of it a server is full.
 AGREE, NEARLY = 0.1, 0.75
@@ -93,12 +96,12 @@
 class TrackState:
     """What is learned of a track, for the life of the instance."""
 
-    __slots__ = ("answers", "calm", "max_trips", "mean", "median", "slow", "track")
+    __slots__ = ("answers", "calm", "max_attempts", "mean", "median", "slow", "track")
 
-    def __init__(self, track: Track, max_trips: int) -> None:
+    def __init__(self, track: Track, max_attempts: int) -> None:
         # An inquiry keeps this object, and so the rules that it came with, when the settings change.
         self.track = track
-        self.max_trips = max_trips
+        self.max_attempts = max_attempts
         # Latencies in microseconds: the median, the mean, and a slow one (nine in ten are faster).
         self.median = track.expected_time_us / 8
         self.mean, self.answers = self.median, 0
@@ -106,17 +109,17 @@
         # The mean when all is well.
         self.calm = track.expected_time_us / 6
 
-    def under(self, track: Track, max_trips: int) -> TrackState:
+    def under(self, track: Track, max_attempts: int) -> TrackState:
         """What was learned, under other rules of the same track."""
-        if track == self.track and max_trips == self.max_trips:
+        if track == self.track and max_attempts == self.max_attempts:
             return self
-        other = TrackState(track, max_trips)
+        other = TrackState(track, max_attempts)
         for name in ("answers", "calm", "mean", "median", "slow"):
             setattr(other, name, getattr(self, name))
         return other
 
     def learn(self, latency: int, answered: bool) -> None:
-        """Move the two quantiles a small step towards what a trip took; one without answer counts as slow."""
+        """Move the two quantiles a step towards an attempt's time; one without answer counts as slow."""
         self.slow *= 1.036 if latency > self.slow else 0.996
         if answered:
             self.median *= 1.02 if latency > self.median else 0.98
@@ -135,7 +138,7 @@
     warm_at: int
     cold_tokens: float
     cold_at: int
-    trips: dict[tuple[InquiryId, int], Trip] = field(default_factory=dict)
+    attempts: dict[tuple[InquiryId, int], Attempt] = field(default_factory=dict)
     halved_at: int = 0
     fail_share: float = 0.0
     strikes: int = 0
@@ -145,7 +148,7 @@
     turns: float = 0.0
     rest_until: int = 0
     credit: float = 1.0
-    # How many trips of other nodes are there, as its keeper told, and until when that counts.
+    # How many attempts of other nodes are there, as its keeper told, and until when that counts.
     told: int = 0
     told_until: int = 0
     # Its place in the node's order: the own zone first, then by chance, so that nodes do not send in step.
@@ -156,17 +159,17 @@
 class Book:
     """What a node keeps of one server for all nodes."""
 
-    # Trips by node, and when it told of them.
-    trips: dict[int, tuple[int, int]] = field(default_factory=dict)
+    # Attempts by node, and when it told of them.
+    attempts: dict[int, tuple[int, int]] = field(default_factory=dict)
     # Nodes that found no room, the first to be told first.
     waiting: list[int] = field(default_factory=list)
-    # Latencies, in microseconds, of trips that found it nearly empty, and full.
+    # Latencies, in microseconds, of attempts that found it nearly empty, and full.
     light: float = 0.0
     full: float = 0.0
 
     def total(self, peer: int, oldest: int) -> int:
-        """Trips of all other nodes there. One that has said nothing for long has none: it may be gone."""
-        return sum(count for other, (count, at) in self.trips.items() if other != peer and at >= oldest)
+        """Attempts of all other nodes there. One that has said nothing for long has none: it may be gone."""
+        return sum(count for other, (count, at) in self.attempts.items() if other != peer and at >= oldest)
 
 
 @dataclass(slots=True, eq=False)
@@ -183,19 +186,19 @@
     late_end: int
     # How long it has once all of it has come.
     span: int
-    trips: int = 0
-    out: Trip | None = None
-    # The first trip that may have run: its server and when it was sent.
+    attempts: int = 0
+    out: Attempt | None = None
+    # The first attempt that may have run: its server and when it was sent.
     ran_on: Server | None = None
     ran_at: int = 0
     over: bool = False
-    # The servers asked about for its next trip, and how many answers are still to come.
+    # The servers asked about for its next attempt, and how many answers are still to come.
     choices: list[Server] = field(default_factory=list)
     awaited: int = 0
 
     @property
     def placed(self) -> bool:
-        """Whether it needs no place: it is over, has a trip out, or servers are being asked about for it."""
+        """Whether it needs no place: it is over, has an attempt out, or servers are being asked about."""
         return self.over or self.out is not None or bool(self.choices)
 
 
@@ -204,7 +207,7 @@
     """The servers open to a track, in the node's order; tracks bound alike share one."""
 
     ranked: list[Server] = field(default_factory=list)
-    # Who comes before them, how many get trips, which these are, and which of them stand in the own zone.
+    # Who comes before them, how many get attempts, which these are, and which of them stand in the own zone.
     first: dict[Server, None] = field(default_factory=dict)
     width: int = 2
     servers: list[Server] = field(default_factory=list)
@@ -217,20 +220,20 @@
     held: list[tuple[float, int, int, Inquiry]] = field(default_factory=list)
 
 
-class Trip:
+class Attempt:
     """One try at an inquiry, from its sending to its end."""
 
     __slots__ = ("filled", "found", "inquiry", "number", "overdue_at", "sent_at", "server")
 
     def __init__(self, inquiry: Inquiry, server: Server, now: int) -> None:
         self.inquiry = inquiry
-        self.number = inquiry.trips
+        self.number = inquiry.attempts
         self.server = server
         self.sent_at = now
         self.overdue_at = now + int(2 * inquiry.state.slow)
-        self.filled = len(server.trips) + 1 >= server.cap
-        # How many trips of all nodes were there, itself included; 0: nobody told of late.
-        self.found = server.told + len(server.trips) + 1 if server.told_until >= now else 0
+        self.filled = len(server.attempts) + 1 >= server.cap
+        # How many attempts of all nodes were there, itself included; 0: nobody told of late.
+        self.found = server.told + len(server.attempts) + 1 if server.told_until >= now else 0
 
 
 class Balancer:
@@ -257,7 +260,7 @@
         self.mean_size, self.bound = 1.0, BOUND_START
         self.heard_until = host.now + SECOND
         self.inquiries: dict[InquiryId, Inquiry] = {}
-        self.trips: dict[tuple[InquiryId, int], Trip] = {}
+        self.attempts: dict[tuple[InquiryId, int], Attempt] = {}
         self.books: dict[int, Book] = {}
         self.by_tag: dict[int, Server] = {}
         # Inquiries that wait for an answer about a server, by its tag.
@@ -268,7 +271,7 @@
         # The bucket: rates are tokens a microsecond. It starts open, until own arrivals are known.
         self.started = self.refilled_at = host.now
         self.seen = self.metered = self.sent = self.served = 0
-        # Of all that came, of what was metered, of trips (of late, and usually), of metered ones served.
+        # Of all that came, of what was metered, of attempts (of late, and usually), of metered ones served.
         self.seen_rate = self.arrival_rate = self.send_rate = self.served_rate = self.usual_rate = 0.0
         self.rate, self.rise, self.floor = 1000 / SECOND, 0.01, 1 / SECOND
         self.tokens = self.burst = 100.0
@@ -285,7 +288,7 @@
         self.settings = settings
         payoffs = [track.payoff for track in settings.tracks]
         self.core_worth = sum(payoffs) / max(1, len(payoffs))
-        known, most = self.tracks, settings.max_trips
+        known, most = self.tracks, settings.max_attempts
         self.tracks = {
             t.name: known[t.name].under(t, most) if t.name in known else TrackState(t, most)
             for t in settings.tracks
@@ -362,14 +365,14 @@
         self._place(inquiry, now)
 
     def body_coming(self, name: InquiryId) -> None:
-        """A large body is passed on to the trip out as it comes: until its last byte no time counts.
+        """A large body is passed on to the attempt out as it comes: until its last byte no time counts.
 
         Nor does its place: the server has not begun, and one slow sender would hold others back.
         """
         inquiry = self.inquiries.get(name)
         if inquiry is not None and inquiry.out is not None:
             inquiry.out.overdue_at = inquiry.end = inquiry.late_end = 1 << 62
-            inquiry.out.server.trips.pop((name, inquiry.out.number), None)
+            inquiry.out.server.attempts.pop((name, inquiry.out.number), None)
             self._fill(self.host.now)
 
     def body_sent(self, name: InquiryId) -> None:
@@ -378,15 +381,15 @@
         if inquiry is not None and inquiry.out is not None:
             inquiry.end = inquiry.late_end = now + inquiry.span
             inquiry.out.sent_at, inquiry.out.overdue_at = now, now + int(2 * inquiry.state.slow)
-            inquiry.out.server.trips[name, inquiry.out.number] = inquiry.out
+            inquiry.out.server.attempts[name, inquiry.out.number] = inquiry.out
 
     def body_spent(self, name: InquiryId) -> None:
-        """Part of it is passed on and gone: no further trip can carry it."""
+        """Part of it is passed on and gone: no further attempt can carry it."""
         inquiry = self.inquiries.get(name)
         if inquiry is not None:
-            inquiry.trips = inquiry.state.max_trips
+            inquiry.attempts = inquiry.state.max_attempts
 
-    def trip_ended(
+    def attempt_ended(
         self,
         name: InquiryId,
         number: int,
@@ -395,23 +398,23 @@
         over: bool,
         report: dict[str, float] | None,
     ) -> None:
-        """A trip has its outcome: judge the server, then go on with the inquiry where it is not over."""
+        """An attempt has its outcome: judge the server, then go on with the inquiry where it is not over."""
         now = self.host.now
-        trip = self.trips.pop((name, number), None)
-        if trip is None:
+        attempt = self.attempts.pop((name, number), None)
+        if attempt is None:
             return
-        trip.server.trips.pop((name, number), None)
+        attempt.server.attempts.pop((name, number), None)
         if self.may_message:
-            found = trip.found if outcome is Outcome.SATISFIED else 0
-            self._tell_keeper(NoteKind.ENDED, trip.server, found, latency_us)
-        self._judge(trip, outcome, latency_us, now)
-        inquiry = trip.inquiry
+            found = attempt.found if outcome is Outcome.SATISFIED else 0
+            self._tell_keeper(NoteKind.ENDED, attempt.server, found, latency_us)
+        self._judge(attempt, outcome, latency_us, now)
+        inquiry = attempt.inquiry
         inquiry.out = None
         if over and not inquiry.over:
             self._forget(inquiry)
         elif not inquiry.over:
             if not outcome.proved_not_run and inquiry.ran_on is None:
-                inquiry.ran_on, inquiry.ran_at = trip.server, trip.sent_at
+                inquiry.ran_on, inquiry.ran_at = attempt.server, attempt.sent_at
             if self._may_go_again(inquiry, now):
                 self._place(inquiry, now)
             else:
@@ -448,7 +451,7 @@
     # Books of servers: what nodes tell one another.
 
     def note_came(self, peer: int, note: Note) -> None:
-        """Another node asks how full a server is, answers, or tells of its own trips there."""
+        """Another node asks how full a server is, answers, or tells of its own attempts there."""
         now = self.host.now
         server = self.by_tag.get(note.tag)
         if server is None:
@@ -458,7 +461,7 @@
             self.bound += AGREE * (note.bound - self.bound)
             if peer != self.settings.peer_index:
                 self.heard_until = now + self.longest
-            server.told, server.told_until = note.trips, now + 4 * self.ask_wait
+            server.told, server.told_until = note.attempts, now + 4 * self.ask_wait
             for inquiry in self.asking.pop(note.tag, ()):
                 inquiry.awaited -= 1
                 if inquiry.awaited == 0 and inquiry.choices:
@@ -466,10 +469,13 @@
             self._offer(server, now)
             return
         book = self.books.setdefault(note.tag, Book())
-        book.trips[peer] = note.trips, now
+        book.attempts[peer] = note.attempts, now
         if note.kind is NoteKind.ASK:
             total = self._answer(note.tag, peer, now)
-            if total + note.trips + 1 > self._limit(server) * LEAST_ROOM and len(book.waiting) < WAITING_MOST:
+            if (
+                total + note.attempts + 1 > self._limit(server) * LEAST_ROOM
+                and len(book.waiting) < WAITING_MOST
+            ):
                 book.waiting.append(peer)
             return
         if note.kind is NoteKind.ENDED:
@@ -488,7 +494,7 @@
         tell(peer, note)
 
     def _tell_keeper(self, kind: NoteKind, server: Server, found: int = 0, latency_us: int = 0) -> None:
-        note = Note(kind, server.tag, len(server.trips), found, latency_us)
+        note = Note(kind, server.tag, len(server.attempts), found, latency_us)
         self._tell(server.tag % self.settings.peers, note)
 
     def _learn_bound(self, book: Book, server: Server, found: int, latency: int) -> None:
@@ -504,7 +510,7 @@
             self.bound = max(BOUND_LEAST, self.bound * (1 + BOUND_STEP if good else 1 - BOUND_STEP))
 
     def _limit(self, server: Server) -> float:
-        """How many trips of all nodes a server takes, by its size."""
+        """How many attempts of all nodes a server takes, by its size."""
         return self.bound * server.entry.size / self.mean_size
 
     def _fits(self, inquiry: Inquiry, server: Server, now: int) -> bool:
@@ -516,8 +522,8 @@
         return self._fill_of(server, now) + 1 <= self._limit(server) * room or self.heard_until < now
 
     def _fill_of(self, server: Server, now: int) -> float:
-        """Trips of all nodes at a server; one that nobody told of late counts as half full."""
-        return len(server.trips) + (server.told if server.told_until >= now else self._limit(server) / 2)
+        """Attempts of all nodes at a server; one that nobody told of late counts as half full."""
+        return len(server.attempts) + (server.told if server.told_until >= now else self._limit(server) / 2)
 
     def _bind(self, inquiry: Inquiry, server: Server, now: int) -> None:
         """Send, where books are kept after asking how full the next few servers of the rotation are."""
@@ -545,7 +551,7 @@
             return
         # The list may have changed while they were asked about.
         open_ = inquiry.rotation.ranked
-        ready = [s for s in choices if s in open_ and len(s.trips) < s.cap]
+        ready = [s for s in choices if s in open_ and len(s.attempts) < s.cap]
         ready = [server for server in ready if self._fits(inquiry, server, now)]
         if ready:
             least_full = min(ready, key=lambda server: (self._fill_of(server, now) + 1) / server.entry.size)
@@ -601,7 +607,7 @@
         return since is not None or entry is not None
 
     def may_send(self, server: ServerId) -> bool:
-        """Whether a trip chosen before may still begin: it may have left the rotation since."""
+        """Whether an attempt chosen before may still begin: it may have left the rotation since."""
         return server in self.servers
 
     def draw_servers(self, changed: list[ServerId] | None = None) -> None:
@@ -618,7 +624,8 @@
             if entry is None or entry.condition is not Condition.READY or name in self.left_out:
                 continue
             if known is None or known.entry.born_us < entry.born_us:
-                # A restart is a new, cold server; a whole trip of each node at once is too much: half of one.
+                # A restart is a new, cold server; a whole attempt of each node at once is too much: half of
+                # one.
                 warm_at = entry.born_us + self.settings.warm_after_us if entry.born_us else 0
                 known = Server(entry, entry.tag, mean_cap, warm_at, self._chance(), now)
                 known.place = f"0{crc32(f'{self.seed} {name}'.encode()):08x}{name}"
@@ -720,7 +727,7 @@
     # The rotation.
 
     def _next_server(self, inquiry: Inquiry, now: int) -> Server | None:
-        """The next server in the rotation that may take this inquiry's next trip."""
+        """The next server in the rotation that may take this inquiry's next attempt."""
         rotation = inquiry.rotation
         # Crossings cost: while all goes well, the servers of the node's own zone come first.
         found = self._ready_from(rotation.near, rotation.near_turn, inquiry, now) if self.calm else -1
@@ -735,16 +742,16 @@
 
     def _ready_from(self, servers: list[Server], turn: int, inquiry: Inquiry, now: int) -> int:
         """The place in the rotation, from this turn on, of the first server ready; -1 if none is."""
-        further = inquiry.trips > 0
+        further = inquiry.attempts > 0
         usual_pace = SLOWER * inquiry.rotation.median_pace
         skipped = -1
         for step in range(turn, turn + len(servers)):
             place = step % len(servers)
             server = servers[place]
-            trips = server.trips
-            if len(trips) >= server.cap or server.rest_until > now:
+            attempts = server.attempts
+            if len(attempts) >= server.cap or server.rest_until > now:
                 continue
-            if trips and next(iter(trips.values())).overdue_at <= now:
+            if attempts and next(iter(attempts.values())).overdue_at <= now:
                 continue
             if further and (server.credit < 1 or not self._in_group(inquiry, server)):
                 continue
@@ -770,19 +777,21 @@
 
     def _send(self, inquiry: Inquiry, server: Server, now: int) -> None:
         timeout = inquiry.late_end - now
-        if inquiry.trips > 0:
+        if inquiry.attempts > 0:
             server.credit -= 1
         # A silent server must not hold the inquiry to its end, if it could go elsewhere after that.
         track = inquiry.state.track
         patient = int(3 * inquiry.state.slow)
-        repeatable = track.effect is not Effect.IRREVERSIBLE and inquiry.trips + 1 < inquiry.state.max_trips
+        repeatable = (
+            track.effect is not Effect.IRREVERSIBLE and inquiry.attempts + 1 < inquiry.state.max_attempts
+        )
         if repeatable and timeout - patient > inquiry.state.median:
             timeout = patient
-        trip = Trip(inquiry, server, now)
-        key = inquiry.name, trip.number
-        self.trips[key] = server.trips[key] = trip
-        inquiry.trips += 1
-        inquiry.out = trip
+        attempt = Attempt(inquiry, server, now)
+        key = inquiry.name, attempt.number
+        self.attempts[key] = server.attempts[key] = attempt
+        inquiry.attempts += 1
+        inquiry.out = attempt
         self.sent += 1
         if server.warm_at > now:
             server.cold_tokens -= 1
@@ -818,7 +827,7 @@
                 if server is not None:
                     heappop(held)
                     self._bind(inquiry, server, now)
-                elif inquiry.trips > 0 and len(aside) < 8:
+                elif inquiry.attempts > 0 and len(aside) < 8:
                     # Where only this one's choice of servers is narrow, the next may still be placed.
                     aside.append(heappop(held))
                 else:
@@ -843,7 +852,7 @@
             self.last_calls.clear()
 
     def _cold_room(self, server: Server, now: int) -> bool:
-        """A budget of trips for a cold server, by what a warm one usually gets, also in a burst."""
+        """A budget of attempts for a cold server, by what a warm one usually gets, also in a burst."""
         rules = self.settings
         warmth = rules.cold_from + (1 - rules.cold_from) * (now - server.entry.born_us) / rules.warm_after_us
         per_server = min(self.send_rate, self.usual_rate) / max(1, len(self.whole.servers))
@@ -853,12 +862,12 @@
         server.cold_at = now
         return server.cold_tokens >= 1
 
-    # What a trip's end tells.
+    # What an attempt's end tells.
 
-    def _judge(self, trip: Trip, outcome: Outcome, latency: int, now: int) -> None:
-        server, state = trip.server, trip.inquiry.state
-        if outcome is Outcome.WITHDRAWN and now >= trip.overdue_at:
-            # The client left while a silent server held its trip.
+    def _judge(self, attempt: Attempt, outcome: Outcome, latency: int, now: int) -> None:
+        server, state = attempt.server, attempt.inquiry.state
+        if outcome is Outcome.WITHDRAWN and now >= attempt.overdue_at:
+            # The client left while a silent server held its attempt.
             outcome = Outcome.TIMEOUT
         if outcome is Outcome.SATISFIED:
             state.learn(latency, True)
@@ -868,7 +877,7 @@
                 state.calm = max(state.calm, FIRST_PART * state.mean)
             server.fail_share *= 0.8
             server.credit = min(4.0, server.credit + 0.1)
-            self.served += trip.inquiry.worth <= self.core_worth
+            self.served += attempt.inquiry.worth <= self.core_worth
             self._rose()
             # One answer says little, for inquiries differ: in time is a server whose answers of late were.
             self.pace += 0.1 * (latency / state.track.expected_time_us - self.pace)
@@ -876,41 +885,41 @@
             server.pace += max(0.1, 1 / (server.answers + 2)) * (latency / state.calm - server.pace)
             server.strikes = 0
             # A cap rises only where it was used up: otherwise the answer says nothing about it.
-            if trip.filled and server.pace <= IN_TIME:
+            if attempt.filled and server.pace <= IN_TIME:
                 server.cap += 1
-            elif server.pace > FAR_LATE and server.cap > 1 and trip.sent_at > server.halved_at:
+            elif server.pace > FAR_LATE and server.cap > 1 and attempt.sent_at > server.halved_at:
                 # Late without failing: what all nodes hold there keeps it slow, also once the burst is over.
                 server.cap, server.halved_at = server.cap - 1, now
-        elif outcome is Outcome.MOOT and trip.number > 0:
-            # It never began: what a further trip costs is given back.
+        elif outcome is Outcome.MOOT and attempt.number > 0:
+            # It never began: what a further attempt costs is given back.
             server.credit = min(4.0, server.credit + 1)
         elif outcome in (Outcome.SPOILT, Outcome.RESET) and server.fail_share < MOSTLY:
             # It wrote its answer badly or dropped a connection: no sign of load, unless it does little else.
             server.fail_share += 0.2 * (1 - server.fail_share)
         elif outcome not in (Outcome.WITHDRAWN, Outcome.MOOT):
-            if outcome is Outcome.TIMEOUT or trip.inquiry.end - now < 4 * self.margin:
+            if outcome is Outcome.TIMEOUT or attempt.inquiry.end - now < 4 * self.margin:
                 # An error at the very end is a time-out too: deeper down the time ran out a little earlier.
                 state.learn(latency, False)
             if outcome is not Outcome.CONNECT_FAILED:
                 # A connection that is late or refused says nothing of load: the server alone answers for it.
                 self._fell()
-            if trip.inquiry.end - trip.sent_at < state.slow:
+            if attempt.inquiry.end - attempt.sent_at < state.slow:
                 # It was sent with too little time left for a usual answer: that is not the server's failure.
                 return
             lowest = server.cap == 1
-            if trip.sent_at > server.halved_at:
-                # Trips sent before the last halving tell of the same trouble: half was enough.
+            if attempt.sent_at > server.halved_at:
+                # Attempts sent before the last halving tell of the same trouble: half was enough.
                 server.cap, server.halved_at = max(1, server.cap // 2), now
             server.fail_share += 0.2 * (1 - server.fail_share)
-            if lowest and server.fail_share > trip.inquiry.rotation.median_fail_share:
+            if lowest and server.fail_share > attempt.inquiry.rotation.median_fail_share:
                 self._rest(server, now, outcome.value)
 
     def _rest(self, server: Server, now: int, why: str) -> None:
         """Out of the rotation, for longer each time until it does well again."""
         least = int(2 * min((track.calm for track in self.tracks.values()), default=self.margin))
         if server.strikes > 0:
-            # It failed its trial too. A trial costs a trip: where a node sends little, a short rest would be
-            # over before the next one.
+            # It failed its trial too. A trial costs an attempt: where a node sends little, a short rest
+            # would be over before the next one.
             least = max(least, int(min(10 / max(self.send_rate, 1e-9), REST_MOST)))
         server.rest_until = now + min(least << min(server.strikes, 3), REST_MOST)
         server.strikes += 1
@@ -921,19 +930,19 @@
             self.host.log(f"resting {server.entry.server}: {why}, fail share {server.fail_share:.2f}")
 
     def _may_go_again(self, inquiry: Inquiry, now: int) -> bool:
-        """Whether rules and time allow a further trip."""
-        if inquiry.trips >= inquiry.state.max_trips or inquiry.end - now < inquiry.state.median:
+        """Whether rules and time allow a further attempt."""
+        if inquiry.attempts >= inquiry.state.max_attempts or inquiry.end - now < inquiry.state.median:
             return False
         if inquiry.ran_on is None or inquiry.state.track.effect is Effect.REDOABLE:
             return True
         return inquiry.state.track.effect is Effect.LABELLED and self._in_window(inquiry, now)
 
     def _in_window(self, inquiry: Inquiry, now: int) -> bool:
-        """Whether the group that got a labelled inquiry surely remembers it when another trip arrives."""
+        """Whether the group that got a labelled inquiry surely remembers it when another attempt arrives."""
         return now < inquiry.ran_at + inquiry.state.track.window_us - self.margin
 
     def _in_group(self, inquiry: Inquiry, server: Server) -> bool:
-        """Whether a further trip to this server keeps the rule on effects."""
+        """Whether a further attempt to this server keeps the rule on effects."""
         first, track = inquiry.ran_on, inquiry.state.track
         if first is None or track.effect is Effect.REDOABLE:
             return True
@@ -984,8 +993,8 @@
         # pass. At the front a tenth of it: where servers choke or a hall is lost there may be no more.
         self.floor = max(self.arrival_rate * 1.2, 1 / SECOND)
         if self.front:
-            # Nor is less let in than was served a moment ago, the surer the more trips tell of it: holds that
-            # end in a row must not shut a bucket that others still pass well.
+            # Nor is less let in than was served a moment ago, the surer the more attempts tell of it: holds
+            # that end in a row must not shut a bucket that others still pass well.
             served = SERVED_PART * (1 - self.rise / RISE_MOST) * self.served_rate
             # Nor, while nothing waits and answers are quick, less than its caps have room for: failures that
             # say nothing of load would keep it at its floor for good, beside servers that are hardly used.
--- a/coraldeal/benchlink/link.py
+++ b/coraldeal/benchlink/link.py
@@ -55,8 +55,8 @@
     def give_up(self, inquiry: int) -> None:
         self.out.append(f"error\t{inquiry}")
 
-    def withdraw(self, inquiry: int, trip: int) -> None:
-        self.out.append(f"withdraw\t{inquiry}\t{trip}")
+    def withdraw(self, inquiry: int, attempt: int) -> None:
+        self.out.append(f"withdraw\t{inquiry}\t{attempt}")
 
     def tell(self, peer: int, note: Note) -> None:
         self.out.append(f"share\t{peer}\t{pack(note).hex()}")
@@ -208,11 +208,11 @@
             int(figure)
 
     def answer(self, rest: str) -> None:
-        inquiry, trip, _, code, latency, over, gauge = self._fields(rest, 7)
+        inquiry, attempt, _, code, latency, over, gauge = self._fields(rest, 7)
         if code not in OUTCOMES or over not in FLAGS:
             raise WireError(f"unknown code or flag {code[:20]!r}, {over[:20]!r}")
-        self._current().trip_ended(
-            int(inquiry), int(trip), OUTCOMES[code], int(latency) // 1000, FLAGS[over], _report(gauge)
+        self._current().attempt_ended(
+            int(inquiry), int(attempt), OUTCOMES[code], int(latency) // 1000, FLAGS[over], _report(gauge)
         )
 
     def hangup(self, rest: str) -> None:
--- a/coraldeal/handover/terms.py
+++ b/coraldeal/handover/terms.py
@@ -16,7 +16,7 @@
         """Take new connections of callers from now on, or leave them to the other process."""
 
     def take_part(self, part: float) -> None:
-        """Keep to this part of what the node may do: descriptors, and trips to cold servers."""
+        """Keep to this part of what the node may do: descriptors, and attempts to cold servers."""
 
 
 class Terms:
--- a/coraldeal/interface.py
+++ b/coraldeal/interface.py
@@ -31,7 +31,7 @@
 
 
 class Outcome(enum.Enum):
-    """How a trip or a probe ended. `proved_not_run` is filled in below."""
+    """How an attempt or a probe ended. `proved_not_run` is filled in below."""
 
     SATISFIED = "satisfied"
     ERROR = "error"
@@ -39,7 +39,7 @@
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
-    # An answer came that can't be read: the trip may have run, and nothing says that the server is busy.
+    # An answer came that can't be read: the attempt may have run, and nothing says that the server is busy.
     SPOILT = "spoilt"
     WITHDRAWN = "withdrawn"
     MOOT = "moot"
@@ -129,7 +129,7 @@
     beyond_share_payoff: float
     list_is_asked: bool
     ask_every_us: int
-    max_trips: int
+    max_attempts: int
     may_withdraw: bool
     may_advise_pause: bool
     max_pause_us: int
@@ -146,7 +146,7 @@
 class NoteKind(enum.Enum):
     """What one node tells another of a server."""
 
-    # How full is it? / so full / so many trips of mine are there now / one of mine has ended.
+    # How full is it? / so full / so many attempts of mine are there now / one of mine has ended.
     ASK = 1
     ANSWER = 2
     SENT = 3
@@ -160,12 +160,13 @@
     kind: NoteKind
     # Which server, see `Entry.tag`.
     tag: int
-    # Trips there: the sender's own, in an answer those of all nodes but the asker.
-    trips: int
-    # Of an ended trip that was satisfied: how many trips it found there, itself included (0: not known).
+    # Attempts there: the sender's own, in an answer those of all nodes but the asker.
+    attempts: int
+    # Of an ended attempt that was satisfied: how many attempts it found there, itself included (0: not
+    # known).
     found: int = 0
     latency_us: int = 0
-    # In an answer: how many trips a server of mean size takes, as far as the sender has learned.
+    # In an answer: how many attempts a server of mean size takes, as far as the sender has learned.
     bound: float = 0.0
 
 
@@ -176,7 +177,7 @@
     def now(self) -> int: ...
 
     def send(self, inquiry: InquiryId, server: ServerId, timeout_us: int) -> None:
-        """Start the next trip of an inquiry."""
+        """Start the next attempt of an inquiry."""
 
     def defer(self, inquiry: InquiryId, pause_us: int) -> None:
         """Final answer: not now; asking again does no harm, best after the pause (0: no advice)."""
@@ -184,8 +185,8 @@
     def give_up(self, inquiry: InquiryId) -> None:
         """Final answer: failed; promises nothing about the effect."""
 
-    def withdraw(self, inquiry: InquiryId, trip: int) -> None:
-        """Stop waiting for a trip; its end is still told."""
+    def withdraw(self, inquiry: InquiryId, attempt: int) -> None:
+        """Stop waiting for an attempt; its end is still told."""
 
     def tell(self, peer: int, note: Note) -> None:
         """Send a short message to another node, by its number; it may come late or never."""
--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -22,7 +22,7 @@
 # The same for those who take. The system keeps up to some MB for a slow taker and tells only when a third of
 # that is free again: at twice the pace above that is a silence of more than ten seconds.
 TAKER_GRACE = 30.0
-# What a body may hold in all, and what is kept of one so that a further trip is possible: so much, or the
+# What a body may hold in all, and what is kept of one so that a further attempt is possible: so much, or the
 # lesser figure where all that is kept together has reached its bound. A larger one is passed on as it comes.
 BODY_LARGEST = 64 * 1024 * 1024
 KEPT_MOST = 1024 * 1024
@@ -120,7 +120,7 @@
         self.content = content
         self.progress = progress
         self.read_in_all = kept
-        # Whether some of it was passed on: then no further trip can carry the whole.
+        # Whether some of it was passed on: then no further attempt can carry the whole.
         self.begun = False
         # Whether its last byte was handed to a server's connection.
         self.passed = False
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -68,7 +68,7 @@
         self.made_at = self._loop.time()
         # How many requests had come when the head now coming began; -1: none is coming.
         self.head_of = -1
-        # Bytes of a body that are kept for further trips.
+        # Bytes of a body that are kept for further attempts.
         self.kept = 0
 
     def end(self, why: str) -> None:
--- a/coraldeal/net/desk.py
+++ b/coraldeal/net/desk.py
@@ -39,7 +39,7 @@
             "passed": counts.satisfied,
             "dropped": counts.deferred,
             "bad_gateway": counts.given_up,
-            "upstream_tries": counts.trips,
+            "upstream_tries": counts.attempts,
             "in_progress": len(node.inquiries.in_hand) + node.callers.passing,
             "known_servers": len(balancer.listed),
             "skipped_servers": len(balancer.listed) - in_rotation,
--- a/coraldeal/net/figures.py
+++ b/coraldeal/net/figures.py
@@ -6,15 +6,15 @@
 
 
 class Figures:
-    """Inquiries by track and how they ended, trips written whole, configurations read anew."""
+    """Inquiries by track and how they ended, attempts written whole, configurations read anew."""
 
-    __slots__ = ("deferred", "given_up", "kept", "loads", "satisfied", "trips")
+    __slots__ = ("attempts", "deferred", "given_up", "kept", "loads", "satisfied")
 
     def __init__(self, tracks: Iterable[str]) -> None:
         self.satisfied: dict[str, int] = {}
         self.deferred: dict[str, int] = {}
         self.given_up: dict[str, int] = {}
-        self.trips = 0
+        self.attempts = 0
         # Configurations taken at SIGHUP, and those turned down.
         self.loads = 0
         self.kept = 0
--- a/coraldeal/net/host.py
+++ b/coraldeal/net/host.py
@@ -52,10 +52,10 @@
     def give_up(self, inquiry: InquiryId) -> None:
         self._choose(inquiry, failure())
 
-    def withdraw(self, inquiry: InquiryId, trip: int) -> None:
+    def withdraw(self, inquiry: InquiryId, attempt: int) -> None:
         known = self.inquiries.in_hand.get(inquiry)
         if known is not None:
-            known.withdraw(trip)
+            known.withdraw(attempt)
 
     def tell(self, peer: int, note: Note) -> None:
         if self.carrier is not None:
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -11,13 +11,13 @@
 from coraldeal.balance import Balancer
 from coraldeal.interface import InquiryId, Outcome, ServerId
 from coraldeal.net.servers import Servers
-from coraldeal.net.wire import Answer, Call, TripEnd, failure
+from coraldeal.net.wire import Answer, AttemptEnd, Call, failure
 
 log = logging.getLogger(__name__)
 
 
 class Send(NamedTuple):
-    """The module's choice of a further trip: for how long from when on."""
+    """The module's choice of a further attempt: for how long from when on."""
 
     server: ServerId
     timeout_us: int
@@ -28,6 +28,8 @@
     """What is kept of one inquiry while it lasts."""
 
     __slots__ = (
+        "attempt",
+        "attempt_number",
         "begun",
         "choice",
         "due_us",
@@ -37,8 +39,6 @@
         "request_id",
         "server",
         "timer",
-        "trip",
-        "trip_number",
         "withdrawn",
     )
 
@@ -55,13 +55,13 @@
         self.is_here = is_here
         self.left = False
         self.choice: asyncio.Future[Send | Answer] = loop.create_future()
-        self.trip_number = 0
+        self.attempt_number = 0
         # Whom the last attempt was for.
         self.server: ServerId = ""
-        # The trip under way, and whether it is to be stopped.
-        self.trip: asyncio.Task[TripEnd] | None = None
+        # The attempt under way, and whether it is to be stopped.
+        self.attempt: asyncio.Task[AttemptEnd] | None = None
         self.withdrawn = False
-        # Whether something of that trip may have been written.
+        # Whether something of that attempt may have been written.
         self.begun = False
         # Until when its client waits, by the node's clock.
         self.due_us = 0
@@ -73,15 +73,15 @@
         if not self.choice.done():
             self.choice.set_result(choice)
 
-    def withdraw(self, trip: int) -> None:
-        """Stop waiting for the trip under way, or not yet begun; its end is told from the loop."""
-        if self.trip is None:
-            self.withdrawn = trip == self.trip_number
-        elif trip == self.trip_number:
-            self.trip.get_loop().call_soon(self.trip.cancel)
+    def withdraw(self, attempt: int) -> None:
+        """Stop waiting for the attempt under way, or not yet begun; its end is told from the loop."""
+        if self.attempt is None:
+            self.withdrawn = attempt == self.attempt_number
+        elif attempt == self.attempt_number:
+            self.attempt.get_loop().call_soon(self.attempt.cancel)
 
     def begin(self) -> bool:
-        """Whether the trip may write its first byte; if so it has begun.
+        """Whether the attempt may write its first byte; if so it has begun.
 
         What waited for a connection while its client left must not be sent on: nobody wants it any more. The
         loop has not seen every departure by then, nor does it look where a body waits unread.
@@ -155,27 +155,30 @@
                         return choice
                     inquiry.server = choice.server
                     if inquiry.withdrawn:
-                        end = TripEnd(Outcome.MOOT, 0)
+                        end = AttemptEnd(Outcome.MOOT, 0)
                     else:
                         inquiry.begun = False
-                        inquiry.trip = loop.create_task(self._trip(inquiry, call, choice, wait_us, timer))
-                        # Shielded: a trip outlives its inquiry where the deployment allows no withdrawals.
-                        end = await asyncio.shield(inquiry.trip)
-                    inquiry.trip = None
+                        inquiry.attempt = loop.create_task(
+                            self._attempt(inquiry, call, choice, wait_us, timer)
+                        )
+                        # Shielded: an attempt outlives its inquiry where the deployment allows no
+                        # withdrawals.
+                        end = await asyncio.shield(inquiry.attempt)
+                    inquiry.attempt = None
                     inquiry.choice = loop.create_future()
                     if call.rest is not None and end.outcome is not Outcome.SATISFIED:
                         if call.rest.fault is not None:
                             # The caller's own doing says nothing of the server.
-                            self._trip_ended(inquiry, end, over=True)
+                            self._attempt_ended(inquiry, end, over=True)
                             return Answer(call.rest.fault.status)
                         if call.rest.begun:
-                            # No further trip can carry all of it.
+                            # No further attempt can carry all of it.
                             balancer.body_spent(name)
                     if inquiry.left:
-                        # Found out as its trip was to begin; nobody hears this.
-                        self._trip_ended(inquiry, end, over=True)
+                        # Found out as its attempt was to begin; nobody hears this.
+                        self._attempt_ended(inquiry, end, over=True)
                         return failure(499)
-                    self._trip_ended(inquiry, end, over=end.outcome is Outcome.SATISFIED)
+                    self._attempt_ended(inquiry, end, over=end.outcome is Outcome.SATISFIED)
                     if end.outcome is Outcome.SATISFIED and end.answer is not None:
                         return end.answer
         except TimeoutError:
@@ -191,13 +194,13 @@
             self._left(inquiry)
             return failure(500)
         finally:
-            if inquiry.trip is None:
+            if inquiry.attempt is None:
                 self._over(inquiry)
 
-    async def _trip(
+    async def _attempt(
         self, inquiry: Inquiry, call: Call, choice: Send, wait_us: int, timer: asyncio.Timeout
-    ) -> TripEnd:
-        """One trip; where the body is still to come, times run from its last byte on."""
+    ) -> AttemptEnd:
+        """One attempt; where the body is still to come, times run from its last byte on."""
         if call.rest is None:
 
             def message() -> bytes:
@@ -206,7 +209,7 @@
                 return call.written(due_us - self.servers.clock())
 
             careful = call.track in self.irreversible
-            return await self.servers.trip(
+            return await self.servers.attempt(
                 choice.server, message, choice.timeout_us, careful=careful, may_begin=inquiry.begin
             )
         first_piece = call.written(min(choice.timeout_us, wait_us))
@@ -217,7 +220,7 @@
 
         def count_again() -> None:
             left_us = wait_us if self.until is None else min(wait_us, self.until - self.servers.clock())
-            # The inquiry may be over while its trip is still out.
+            # The inquiry may be over while its attempt is still out.
             with contextlib.suppress(RuntimeError):
                 timer.reschedule(self.servers.loop.time() + left_us / 1e6)
 
@@ -226,7 +229,7 @@
             balancer.body_sent(inquiry.name)
 
         try:
-            return await self.servers.trip(
+            return await self.servers.attempt(
                 choice.server,
                 first_piece,
                 min(choice.timeout_us, wait_us),
@@ -239,42 +242,42 @@
             if timer.when() is None:
                 count_again()
 
-    def _trip_ended(self, inquiry: Inquiry, end: TripEnd, over: bool) -> None:
+    def _attempt_ended(self, inquiry: Inquiry, end: AttemptEnd, over: bool) -> None:
         assert self.balancer is not None
-        number = inquiry.trip_number
-        inquiry.trip_number += 1
+        number = inquiry.attempt_number
+        inquiry.attempt_number += 1
         inquiry.withdrawn = False
         if log.isEnabledFor(logging.DEBUG):
             pairs = {"request": inquiry.request_id, "attempt": number, "server": inquiry.server}
             pairs |= {"outcome": end.outcome.value, "took_ms": end.latency_us // 1000, "last": over}
             log.debug("attempt ended", extra={"pairs": pairs})
-        self.balancer.trip_ended(inquiry.name, number, end.outcome, end.latency_us, over, end.report)
+        self.balancer.attempt_ended(inquiry.name, number, end.outcome, end.latency_us, over, end.report)
 
     def _left(self, inquiry: Inquiry) -> None:
-        """The client is gone: tell the module, and the end of a trip that is still out when it comes."""
+        """The client is gone: tell the module, and the end of an attempt that is still out when it comes."""
         assert self.balancer is not None
         inquiry.left = True
         self.balancer.client_left(inquiry.name)
         choice = inquiry.choice
-        if inquiry.trip is not None:
+        if inquiry.attempt is not None:
             if not inquiry.begun:
                 # What was never written needs no withdrawal, and is stopped also where none are allowed.
-                inquiry.trip.cancel()
-            inquiry.trip.add_done_callback(lambda trip: self._late_end(inquiry, trip))
+                inquiry.attempt.cancel()
+            inquiry.attempt.add_done_callback(lambda attempt: self._late_end(inquiry, attempt))
         elif choice.done() and not choice.cancelled() and isinstance(choice.result(), Send):
             # Chosen but never begun.
-            self._trip_ended(inquiry, TripEnd(Outcome.MOOT, 0), over=True)
+            self._attempt_ended(inquiry, AttemptEnd(Outcome.MOOT, 0), over=True)
 
     def _over(self, inquiry: Inquiry) -> None:
         if self.in_hand.pop(inquiry.name, None) is not None:
             self.open_ids.discard(inquiry.request_id)
 
-    def _late_end(self, inquiry: Inquiry, trip: asyncio.Task[TripEnd]) -> None:
+    def _late_end(self, inquiry: Inquiry, attempt: asyncio.Task[AttemptEnd]) -> None:
         self._over(inquiry)
-        if not trip.cancelled() and trip.exception() is None:
-            answer = trip.result().answer
+        if not attempt.cancelled() and attempt.exception() is None:
+            answer = attempt.result().answer
             if answer is not None and answer.rest is not None:
                 answer.rest.close()
-        # A trip that failed by a bug was logged with its inquiry; its server's place must be free again.
-        broken = trip.cancelled() or trip.exception() is not None
-        self._trip_ended(inquiry, TripEnd(Outcome.RESET, 0) if broken else trip.result(), over=True)
+        # An attempt that failed by a bug was logged with its inquiry; its server's place must be free again.
+        broken = attempt.cancelled() or attempt.exception() is not None
+        self._attempt_ended(inquiry, AttemptEnd(Outcome.RESET, 0) if broken else attempt.result(), over=True)
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -1,8 +1,8 @@
-"""Connections to servers, and the trips and probes that travel on them.
+"""Connections to servers, and the attempts and probes that travel on them.
 
 The node stands on the response protocol and parser of aiohttp's client and not on its session: a session may
 send a request again by itself when a reused connection breaks, and does not tell when the last byte has gone.
-Here each trip is one write, made once.
+Here each attempt is one write, made once.
 """
 
 from __future__ import annotations
@@ -25,11 +25,11 @@
 from coraldeal.net.unread import has_unread
 from coraldeal.net.wire import (
     BODY_MOST,
+    AttemptEnd,
     BadCall,
     Call,
     Listed,
     RawHeaders,
-    TripEnd,
     probe_bytes,
     read_answer,
     read_report,
@@ -93,7 +93,7 @@
         self.target = target
         # Since when it has been at rest; 0: in use.
         self.free_at = 0.0
-        # How long it rested before the trip that it carries, in seconds; 0: it is fresh.
+        # How long it rested before the attempt that it carries, in seconds; 0: it is fresh.
         self.rested = 0.0
         self.made_at = servers.loop.time()
         self.begin()
@@ -110,7 +110,7 @@
         self.surplus = False
 
     def rest(self) -> None:
-        """It may carry the next trip."""
+        """It may carry the next attempt."""
         self.free_at = self.servers.loop.time()
         self.target.idle.append(self)
         self.servers.resting[self] = None
@@ -364,7 +364,7 @@
         target.listed = False
         target.close_idle()
 
-    async def trip(
+    async def attempt(
         self,
         server: ServerId,
         message: bytes | Callable[[], bytes],
@@ -374,8 +374,8 @@
         on_body_sent: Callable[[], None] | None = None,
         careful: bool = False,
         may_begin: Callable[[], bool] = lambda: True,
-    ) -> TripEnd:
-        """One trip, from its connection to its end; cancelling it is stopping it.
+    ) -> AttemptEnd:
+        """One attempt, from its connection to its end; cancelling it is stopping it.
 
         `message` is asked for when it is written, where it can be: it tells the time left.
         `call`: one whose body is still to come; its time counts from that body's last byte. `careful`: it may
@@ -386,7 +386,7 @@
         target = self.targets.get(server)
         if target is None:
             # The list took it away between the choice and the send.
-            return TripEnd(Outcome.CONNECT_FAILED, 0)
+            return AttemptEnd(Outcome.CONNECT_FAILED, 0)
         connection: Connection | None = None
         outcome, report, answer = Outcome.CONNECT_FAILED, None, None
         handed_over = False
@@ -404,9 +404,9 @@
                 )
                 if not (target.listed and self.may_send(server)):
                     # It drains, was left out, or stands elsewhere now: told between choice and first byte.
-                    return TripEnd(Outcome.MOOT, self.clock() - started)
+                    return AttemptEnd(Outcome.MOOT, self.clock() - started)
                 if not may_begin():
-                    return TripEnd(Outcome.MOOT, self.clock() - started)
+                    return AttemptEnd(Outcome.MOOT, self.clock() - started)
                 if not self._write(connection, _written(message)):
                     raise ConnectionError("closed before the first byte")
                 handed_over = call is None
@@ -419,7 +419,7 @@
                     if handed_over and on_body_sent is not None:
                         on_body_sent()
                 if handed_over and not is_probe:
-                    self.figures.trips += 1
+                    self.figures.attempts += 1
                 status, fields, raw, body, rest = await (reading or self._read(connection))
             report = read_report(fields.get("Srv-Load"))
             outcome, answer = read_answer(status, fields, raw, body, rest)
@@ -444,24 +444,25 @@
                     # Most likely it crossed the server's close.
                     self.rest_ended(target, connection.rested, closed=True)
         finally:
-            # Nothing is awaited here: a trip stopped at this very instant would leave its connection open.
+            # Nothing is awaited here: an attempt stopped at this very instant would leave its connection
+            # open.
             if reading is not None:
                 reading.cancel()
                 reading.add_done_callback(_seen)
             if connection is not None and (rest is None or answer is None or answer.rest is None):
                 self.release(connection, answered=answer is not None and (handed_over or is_probe))
-        return TripEnd(outcome, self.clock() - started, report, answer)
+        return AttemptEnd(outcome, self.clock() - started, report, answer)
 
-    async def probe(self, server: ServerId, with_report: bool) -> TripEnd:
+    async def probe(self, server: ServerId, with_report: bool) -> AttemptEnd:
         """Ask a server how it is."""
         target = self.targets.get(server)
         if target is None:
-            return TripEnd(Outcome.CONNECT_FAILED, 0)
+            return AttemptEnd(Outcome.CONNECT_FAILED, 0)
         message = probe_bytes(target.address, with_report)
-        end = await self.trip(server, message, self.probe_wait_us, is_probe=True)
+        end = await self.attempt(server, message, self.probe_wait_us, is_probe=True)
         if end.outcome is Outcome.SATISFIED and with_report and end.answer is not None:
             text = end.answer.body.decode("latin-1").strip()
-            return TripEnd(end.outcome, end.latency_us, read_report(text) or end.report)
+            return AttemptEnd(end.outcome, end.latency_us, read_report(text) or end.report)
         return end
 
     async def _connect(self, target: Target, careful: bool = False) -> Connection:
@@ -537,7 +538,7 @@
             return True
         finally:
             passing.cancel()
-            # It is over when the trip goes on, and what it raised is seen.
+            # It is over when the attempt goes on, and what it raised is seen.
             await asyncio.gather(passing, return_exceptions=True)
 
     async def _pieces(self, connection: Connection, call: Call, rest: Body) -> None:
@@ -562,7 +563,7 @@
             size = len(piece)
 
     def release(self, connection: Connection, answered: bool) -> None:
-        """Keep a connection for the next trip, or close it."""
+        """Keep a connection for the next attempt, or close it."""
         if _bytes_left(connection):
             # Bytes not yet written must not follow: the connection ends at once, not after them.
             connection.abort()
@@ -616,7 +617,7 @@
 
 
 def _seen(task: asyncio.Task[Told]) -> None:
-    """What it raised is seen: the trip that it read for has its outcome."""
+    """What it raised is seen: the attempt that it read for has its outcome."""
     if not task.cancelled():
         task.exception()
 
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -1,6 +1,6 @@
 """The network's words to and from our types: headers, answers, load reports, the list of servers. All pure.
 
-Beyond this file a request is an inquiry and an attempt is a trip.
+Beyond this file a request is an inquiry and an attempt is an attempt.
 """
 
 from __future__ import annotations
@@ -84,7 +84,7 @@
     length: int | None = None
 
     def written(self, wait_us: int) -> bytes:
-        """The bytes of one trip, which tell the server how long the node will wait."""
+        """The bytes of one attempt, which tell the server how long the node will wait."""
         if self.rest is not None and self.length is None:
             form = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(self.body), self.body)
         else:
@@ -111,8 +111,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TripEnd:
-    """How a trip or a probe ended, with the answer where there was one."""
+class AttemptEnd:
+    """How an attempt or a probe ended, with the answer where there was one."""
 
     outcome: Outcome
     latency_us: int
@@ -198,7 +198,7 @@
 def read_answer(
     status: int, fields: Mapping[str, str], raw: RawHeaders, body: bytes, rest: Rest | None = None
 ) -> tuple[Outcome, Answer]:
-    """A server's answer to a trip."""
+    """A server's answer to an attempt."""
     if status == 200:
         kept = _kept(raw, NOT_TO_CALLERS)
         headers = tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in kept)
--- a/coraldeal/rig/baseline.py
+++ b/coraldeal/rig/baseline.py
@@ -34,15 +34,15 @@
 class _Asked:
     """One inquiry."""
 
-    __slots__ = ("end", "name", "out", "ran_on", "track", "trips")
+    __slots__ = ("attempts", "end", "name", "out", "ran_on", "track")
 
     def __init__(self, name: InquiryId, track: Track, end: int) -> None:
         self.name = name
         self.track = track
         self.end = end
-        self.trips = 0
+        self.attempts = 0
         self.out: ServerId | None = None
-        # The server where a trip may have run.
+        # The server where an attempt may have run.
         self.ran_on: Entry | None = None
 
 
@@ -69,7 +69,7 @@
         return crc32(f"{self.seed} {self.draws}".encode()) / 2**32
 
     def choose(self, names: list[ServerId]) -> ServerId:
-        """One of those that may take the trip."""
+        """One of those that may take the attempt."""
         return names[int(self.chance() * len(names))]
 
     def inquiry_arrived(
@@ -79,17 +79,17 @@
         self.go(asked)
 
     def go(self, asked: _Asked) -> None:
-        """A trip, or the final answer."""
+        """An attempt, or the final answer."""
         left = asked.end - self.host.now
         names = self.names
         first = asked.ran_on
         if first is not None and asked.track.effect is Effect.LABELLED:
             names = [name for name in names if self.servers[name].cell == first.cell]
-        if left <= 0 or not names or asked.trips >= self.settings.max_trips:
+        if left <= 0 or not names or asked.attempts >= self.settings.max_attempts:
             self.conclude(asked)
             return
         server = asked.out = self.choose(names)
-        asked.trips += 1
+        asked.attempts += 1
         self.load[server] += 1
         self.host.send(asked.name, server, left)
 
@@ -101,7 +101,7 @@
         else:
             self.host.give_up(asked.name)
 
-    def trip_ended(
+    def attempt_ended(
         self,
         name: InquiryId,
         number: int,
@@ -135,7 +135,7 @@
             if asked.out in self.load:
                 self.load[asked.out] -= 1
             if self.settings.may_withdraw:
-                self.host.withdraw(name, asked.trips - 1)
+                self.host.withdraw(name, asked.attempts - 1)
 
     def alarm(self, token: str) -> None:
         if token == "list":
@@ -171,7 +171,7 @@
 
 
 class LeastRequests(Plain):
-    """Of two drawn by chance the one with fewer trips out, as many proxies do."""
+    """Of two drawn by chance the one with fewer attempts out, as many proxies do."""
 
     def choose(self, names: list[ServerId]) -> ServerId:
         first, second = super().choose(names), super().choose(names)
@@ -181,7 +181,7 @@
 class SendsTwice(Plain):
     """Planted fault: what must not run twice goes again after an error."""
 
-    def trip_ended(
+    def attempt_ended(
         self,
         name: InquiryId,
         number: int,
@@ -191,14 +191,14 @@
         report: dict[str, float] | None,
     ) -> None:
         told = outcome if outcome is Outcome.SATISFIED else Outcome.CONNECT_FAILED
-        super().trip_ended(name, number, told, latency_us, over, report)
+        super().attempt_ended(name, number, told, latency_us, over, report)
 
 
 class LosesOne(Plain):
     """Planted fault: one in twenty inquiries is forgotten, and not even the node's own guard answers it."""
 
     def go(self, asked: _Asked) -> None:
-        if asked.trips == 0 and self.chance() < 0.05:
+        if asked.attempts == 0 and self.chance() < 0.05:
             del self.asked[asked.name]
             return
         super().go(asked)
--- a/coraldeal/rig/scale/hollow.py
+++ b/coraldeal/rig/scale/hollow.py
@@ -1,7 +1,7 @@
 """Hollow nodes: `python -m coraldeal.rig.scale.hollow JOB`, many in one process.
 
 Each plays a node's control side with the product's own classes: the watch (`Discovery`), the addresses
-(`Servers`), the list in the module (`Balancer`) with its sweep. It has no callers, so no trips either.
+(`Servers`), the list in the module (`Balancer`) with its sweep. It has no callers, so no attempts either.
 """
 
 from __future__ import annotations
@@ -155,7 +155,7 @@
 
     def give_up(self, inquiry: InquiryId) -> None: ...
 
-    def withdraw(self, inquiry: InquiryId, trip: int) -> None: ...
+    def withdraw(self, inquiry: InquiryId, attempt: int) -> None: ...
 
     def tell(self, peer: int, note: Note) -> None: ...
 
@@ -172,7 +172,7 @@
 
 
 def _nothing() -> None:
-    """No descriptor is short: there are no trips."""
+    """No descriptor is short: there are no attempts."""
 
 
 async def main(path: Path) -> None:
--- a/coraldeal/rig/slopes.py
+++ b/coraldeal/rig/slopes.py
@@ -119,7 +119,7 @@
         beyond_share_payoff=0.05,
         list_is_asked=False,
         ask_every_us=10 * SECOND,
-        max_trips=3,
+        max_attempts=3,
         may_withdraw=True,
         may_advise_pause=True,
         max_pause_us=SECOND,
@@ -217,7 +217,7 @@
 def settings_by_servers(count: int) -> float:
     """The decisions' part of other settings."""
     balancer = _balancer(count)
-    two = _settings(), replace(_settings(), max_trips=4)
+    two = _settings(), replace(_settings(), max_attempts=4)
 
     def both() -> None:
         for settings in two:
@@ -228,7 +228,7 @@
 
 def settings_by_tracks(count: int) -> float:
     balancer = _balancer(31)
-    two = _settings(count), replace(_settings(count), max_trips=4)
+    two = _settings(count), replace(_settings(count), max_attempts=4)
 
     def both() -> None:
         for settings in two:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -130,7 +130,7 @@
         self.assertEqual(figures["upstream_tries"], len(good.seen) + len(bad.seen))
         self.assertEqual((figures["in_progress"], figures["known_servers"]), (0, 2))
 
-    async def test_left_out_while_a_trip_connects(self) -> None:
+    async def test_left_out_while_a_attempt_connects(self) -> None:
         servers = [await self.stand_in(), await self.stand_in()]
         running = await self.start(*servers)
         caller = await running.caller()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -53,7 +53,7 @@
         self.assertIn(b"Content-Length: %d\r\n" % len(LARGE), head)
         body = await caller.reader.readexactly(2 * MIB)
         # Its client has what there is; the server's place is free and the patience is over.
-        self.assertEqual((running.node.balancer.trips, running.node.callers.passing), ({}, 1))
+        self.assertEqual((running.node.balancer.attempts, running.node.callers.passing), ({}, 1))
         await asyncio.sleep(0.35)
         go_on.set()
         body += await caller.reader.readexactly(len(LARGE) - len(body))
@@ -171,11 +171,11 @@
             begun.clear()
             # Its patience of 0.3 s does not run while the rest is on its way.
             await asyncio.sleep(0.4)
-            self.assertEqual(running.node.figures.trips, len(got))
+            self.assertEqual(running.node.figures.attempts, len(got))
             caller.raw(parts[-1])
             self.assertEqual((await caller.answer())[0], 200)
-        self.assertEqual((got, running.node.figures.trips), ([digest(LARGE)] * 2, 2))
-        self.assertEqual((running.node.callers.kept, running.node.balancer.trips), (0, {}))
+        self.assertEqual((got, running.node.figures.attempts), ([digest(LARGE)] * 2, 2))
+        self.assertEqual((running.node.callers.kept, running.node.balancer.attempts), (0, {}))
 
     async def test_one_kept_whole_may_go_again_and_one_passed_on_is_deferred(self) -> None:
         for size, statuses in ((MIB // 2, (200, 2)), (2 * MIB, (503, 1))):
@@ -212,7 +212,7 @@
     async def test_a_caller_that_stops_in_a_large_body_costs_its_server_nothing(self) -> None:
         running = await self.node(answer)  # type: ignore[arg-type]
         ends = []
-        real = running.node.balancer.trip_ended
+        real = running.node.balancer.attempt_ended
 
         def ended(*told: Any) -> None:
             ends.append(told[2])
@@ -222,7 +222,7 @@
             mock.patch("coraldeal.net.bodies.GRACE", 0.2),
             mock.patch("coraldeal.net.bodies.SLOWEST", 10**9),
             mock.patch("coraldeal.net.callers.LINGER", 0.0),
-            mock.patch.object(running.node.balancer, "trip_ended", ended),
+            mock.patch.object(running.node.balancer, "attempt_ended", ended),
         ):
             caller = await running.caller()
             caller.raw(b"POST /read/x HTTP/1.1\r\nHost: n\r\nReq-Id: 1\r\nContent-Length: 5000000\r\n\r\n")
--- a/tests/test_bucket.py
+++ b/tests/test_bucket.py
@@ -13,7 +13,7 @@
     def deferred_part(self, fail_every: int) -> float:
         """Which part of 400 inquiries is deferred, one each 50 ms; every so many sent fails at once."""
         scene = Scene()
-        scene.do_given("max_trips", "1")
+        scene.do_given("max_attempts", "1")
         for name, payoff in (("gold", "9"), ("look", "1")):
             scene.do_track(name, "redoable", expected="1s", patience="2s", payoff=payoff)
         scene.do_servers("a", "b", "c", "d")
@@ -28,7 +28,7 @@
             deferred += sum(act[0] == "defer" for act in scene.acts)
             over = [act[1] for act in scene.acts if act[0] == "defer"]
             scene.acts.clear()
-            for name in [name for name in held if name in over or int(name) in scene.trips]:
+            for name in [name for name in held if name in over or int(name) in scene.attempts]:
                 held.remove(name)
                 if name in over:
                     continue
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -1,6 +1,6 @@
 """What all nodes together send to servers that have just started, under a made-up clock.
 
-The bound is the standing test's: a cold server falls with more than N + 2 x root of N + 2 trips within
+The bound is the standing test's: a cold server falls with more than N + 2 x root of N + 2 attempts within
 `fall_us`, N being `fall_multiple` x what it can do by then x `fall_us`. It can do `cold_from` of a warm one's
 work at its start and the whole after `warm_after_us`, evenly in between. What a warm one can do nobody is
 told: what each server gets on average before the burst stands for it here, the least that it can be.
@@ -69,7 +69,7 @@
         self.fleet = fleet
         self.index = index
         self.epoch = 0
-        self.trips: dict[int, int] = {}
+        self.attempts: dict[int, int] = {}
         self.balancer: Balancer
 
     @property
@@ -77,16 +77,16 @@
         return self.fleet.now
 
     def send(self, inquiry: int, server: str, timeout_us: int) -> None:
-        trip = self.trips[inquiry] = self.trips.get(inquiry, -1) + 1
-        self.fleet.sent(self, inquiry, trip, server, timeout_us)
+        attempt = self.attempts[inquiry] = self.attempts.get(inquiry, -1) + 1
+        self.fleet.sent(self, inquiry, attempt, server, timeout_us)
 
     def defer(self, inquiry: int, pause_us: int) -> None:
-        self.trips.pop(inquiry, None)
+        self.attempts.pop(inquiry, None)
 
     def give_up(self, inquiry: int) -> None:
-        self.trips.pop(inquiry, None)
+        self.attempts.pop(inquiry, None)
 
-    def withdraw(self, inquiry: int, trip: int) -> None:
+    def withdraw(self, inquiry: int, attempt: int) -> None:
         pass
 
     def tell(self, peer: int, note: Note) -> None:
@@ -117,7 +117,7 @@
         self.now = 1_000 * SECOND
         self.zero = self.now
         self.events: list[tuple[int, int, Any, tuple[Any, ...]]] = []
-        # When each server is done with what it has, when it started, and when trips came to it.
+        # When each server is done with what it has, when it started, and when attempts came to it.
         self.entries = {f"s{i}": Entry(f"s{i}", "z", 1, Condition.READY, 0) for i in range(day.servers)}
         self.free_at = dict.fromkeys(self.entries, 0)
         self.came: dict[str, list[int]] = {name: [] for name in self.entries}
@@ -155,13 +155,14 @@
         day = self.day
         settings = Settings(
             layer=0, instances=day.nodes, self_index=host.index, tick_us=1_000, zone="z", tracks=TRACKS,
-            tenants=[], beyond_share_payoff=0.05, list_is_asked=False, ask_every_us=10 * SECOND, max_trips=3,
+            tenants=[], beyond_share_payoff=0.05, list_is_asked=False, ask_every_us=10 * SECOND,
+            max_attempts=3,
             may_withdraw=True, may_advise_pause=True, max_pause_us=SECOND, cold_from=day.cold_from,
             warm_after_us=day.warm_after_us, fall_multiple=day.fall_multiple * day.budgets,
             fall_us=day.fall_us, peers=day.nodes if day.peers else 0, peer_index=host.index,
         )  # fmt: skip
         host.epoch += 1
-        host.trips = {}
+        host.attempts = {}
         host.balancer = Balancer(host, settings, crc32(f"{self.seed} {host.index} {host.epoch}".encode()))
         ready = [entry for entry in self.entries.values() if entry.condition is Condition.READY]
         host.balancer.servers_listed(ListKind.REMEMBERED, ready)
@@ -201,29 +202,29 @@
         age = (now - born) / self.day.warm_after_us if born else 1.0
         return min(1.0, self.day.cold_from + (1 - self.day.cold_from) * age)
 
-    def sent(self, host: NodeHost, inquiry: int, trip: int, name: str, timeout: int) -> None:
-        """A server does its trips one after another; warm, it can do half as much again as usually comes."""
+    def sent(self, host: NodeHost, inquiry: int, attempt: int, name: str, timeout: int) -> None:
+        """A server does its attempts one by one; warm, it can do half as much again as usually comes."""
         now = self.now
         self.came[name].append(now)
         if name in self.failing and now >= self.zero + self.day.start and self.chance() < 0.5:
-            self.at(now + 5_000, self.ended, host, host.epoch, inquiry, trip, Outcome.ERROR, now)
+            self.at(now + 5_000, self.ended, host, host.epoch, inquiry, attempt, Outcome.ERROR, now)
             return
         work = -log(self.chance()) * min(SECOND / (1.5 * self.day.rate), SECOND / 10) / self.warmth(name, now)
         self.free_at[name] = max(now, self.free_at[name]) + int(min(work, SECOND))
         done = self.free_at[name] + 20_000
         outcome = Outcome.SATISFIED if done <= now + timeout else Outcome.TIMEOUT
-        self.at(min(done, now + timeout), self.ended, host, host.epoch, inquiry, trip, outcome, now)
+        self.at(min(done, now + timeout), self.ended, host, host.epoch, inquiry, attempt, outcome, now)
 
     def ended(
-        self, host: NodeHost, epoch: int, inquiry: int, trip: int, outcome: Outcome, sent_at: int
+        self, host: NodeHost, epoch: int, inquiry: int, attempt: int, outcome: Outcome, sent_at: int
     ) -> None:
         if epoch != host.epoch:
             return
         over = outcome is Outcome.SATISFIED
         self.served += over
         if over:
-            host.trips.pop(inquiry, None)
-        host.balancer.trip_ended(inquiry, trip, outcome, self.now - sent_at, over, None)
+            host.attempts.pop(inquiry, None)
+        host.balancer.attempt_ended(inquiry, attempt, outcome, self.now - sent_at, over, None)
 
     # What it came to.
 
@@ -232,7 +233,7 @@
         return born <= at < born + self.day.warm_after_us
 
     def worst(self) -> tuple[float, int, float]:
-        """The fullest window of a cold server: its part of the bound, its trips and N."""
+        """The fullest window of a cold server: its part of the bound, its attempts and N."""
         day, worst = self.day, (0.0, 0, 0.0)
         for name in self.cold:
             window: deque[int] = deque()
@@ -261,8 +262,8 @@
     "a long way": (Day(cold_from=0.12, warm_after_us=20 * SECOND, end=32 * SECOND, burst=2.0), 1),
     "books": (Day(rate=2.0, burst=2.0, peers=True), 1),
 }
-# Two hundred nodes, whose budgets are less than a trip each: on this seed one that followed the burst's own
-# rate came to 1.12 of the bound.
+# Two hundred nodes, whose budgets are less than an attempt each: on this seed one that followed the burst's
+# own rate came to 1.12 of the bound.
 LARGE = (Day(nodes=200, servers=40, burst=2.0, failing=0.4), 1)
 
 
@@ -278,8 +279,8 @@
             for seed in range(seeds):
                 with self.subTest(name, seed=seed):
                     fleet = played(day, seed)
-                    part, trips, n = fleet.worst()
-                    self.assertLessEqual(part, 1.0, f"{trips} trips, N {n:.1f}")
+                    part, attempts, n = fleet.worst()
+                    self.assertLessEqual(part, 1.0, f"{attempts} trips, N {n:.1f}")
                     # Nor are they left alone: they get a fair part of what they can do while they warm up.
                     sent = sum(len([at for at in fleet.came[s] if fleet.is_cold(s, at)]) for s in fleet.cold)
                     seconds = day.warm_after_us / SECOND
@@ -288,8 +289,8 @@
 
     def test_a_budget_follows_no_burst(self) -> None:
         day, seed = LARGE
-        part, trips, n = played(day, seed).worst()
-        self.assertLessEqual(part, 1.0, f"{trips} trips, N {n:.1f}")
+        part, attempts, n = played(day, seed).worst()
+        self.assertLessEqual(part, 1.0, f"{attempts} trips, N {n:.1f}")
 
     def test_three_times_the_budget_is_seen(self) -> None:
         """The probe itself: it must not pass whatever is sent."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -129,21 +129,21 @@
         self.servers.learn(listed)
         self.head = b"POST /x HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n"
 
-    async def trip(self, careful: bool = False) -> Outcome:
-        return (await self.servers.trip("s", self.head, SECOND, careful=careful)).outcome
+    async def attempt(self, careful: bool = False) -> Outcome:
+        return (await self.servers.attempt("s", self.head, SECOND, careful=careful)).outcome
 
     async def test_what_must_not_run_twice_leaves_connections_that_may_be_closing(self) -> None:
         rests = self.servers.targets["s"].rests
         assert rests is not None
         for _ in range(40):
             self.ages.ended(rests, SECOND // 20, True, clock())
-        await self.trip()
+        await self.attempt()
         await asyncio.sleep(0.035)
         # 35 ms old: under the 50 ms at which closes were seen, over half of that.
-        self.assertIs(await self.trip(careful=True), Outcome.SATISFIED)
+        self.assertIs(await self.attempt(careful=True), Outcome.SATISFIED)
         self.assertEqual(self.server.opened, 2)
         await asyncio.sleep(0.02)
-        self.assertIs(await self.trip(), Outcome.SATISFIED)
+        self.assertIs(await self.attempt(), Outcome.SATISFIED)
         self.assertEqual(self.server.opened, 2)
 
     async def test_a_close_or_bytes_that_came_and_were_not_read_are_seen_before_the_write(self) -> None:
@@ -159,16 +159,16 @@
         ]
         for end in ends:
             self.server.play = close
-            self.assertIs(await self.trip(), Outcome.SATISFIED)
+            self.assertIs(await self.attempt(), Outcome.SATISFIED)
             (connection,) = self.servers.targets["s"].idle
             await asyncio.sleep(0.015)
             assert connection.transport is not None
-            # The loop has not looked yet when the next trip begins.
+            # The loop has not looked yet when the next attempt begins.
             connection.transport.pause_reading()
             end(self.ending)
             await asyncio.sleep(0.005)
             self.assertTrue(has_unread(connection.transport))
-            self.assertIs(await self.trip(), Outcome.SATISFIED)
+            self.assertIs(await self.attempt(), Outcome.SATISFIED)
             for left in list(self.servers.targets["s"].idle):
                 left.drop()
 
@@ -180,7 +180,7 @@
 
         self.server.play = close
         for number in range(12):
-            self.assertIs(await self.trip(), Outcome.SATISFIED)
+            self.assertIs(await self.attempt(), Outcome.SATISFIED)
             await until(lambda number=number: self.server.closed == number + 1)  # type: ignore[misc]
             await until(lambda: not self.servers.targets["s"].idle)
         rests = self.servers.targets["s"].rests
@@ -190,11 +190,11 @@
 
     async def test_an_old_connection_is_not_kept(self) -> None:
         self.servers.oldest = 0.05
-        await self.trip()
+        await self.attempt()
         await asyncio.sleep(0.06)
-        await self.trip()
+        await self.attempt()
         await until(lambda: self.server.closed == 1)
-        await self.trip()
+        await self.attempt()
         self.assertEqual(self.server.opened, 2)
 
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -50,7 +50,7 @@
     async def at_rest(self, running: RunningNode) -> None:
         node = running.node
         await until(lambda: not (node.inquiries.in_hand or node.inquiries.open_ids))
-        self.assertEqual((node.balancer.inquiries, node.balancer.trips), ({}, {}))
+        self.assertEqual((node.balancer.inquiries, node.balancer.attempts), ({}, {}))
 
     async def paused(self, running: RunningNode) -> None:
         """The node reads no further from some caller: it can't see that one leave."""
@@ -205,7 +205,7 @@
                 await point.reached.wait()
                 if how == "close":
                     await self.gone(running, caller)
-                    self.assertEqual(len(running.node.balancer.trips), 1)
+                    self.assertEqual(len(running.node.balancer.attempts), 1)
                 point.go.set()
                 if how == "stays":
                     self.assertEqual(await caller.status(), 200)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -33,7 +33,7 @@
 from coraldeal.net.host import clock
 from coraldeal.net.servers import Connection, Servers
 from coraldeal.net.unread import has_left
-from coraldeal.net.wire import Call, Listed, Objects, TripEnd, read_list
+from coraldeal.net.wire import AttemptEnd, Call, Listed, Objects, read_list
 from tests.standins import (
     CHUNKED_HEAD,
     SETTINGS,
@@ -355,8 +355,8 @@
         """Nothing is left of it, in the module's books nor in the node's."""
         node = running.node
         await until(lambda: not (node.inquiries.in_hand or node.inquiries.open_ids))
-        self.assertEqual((node.balancer.inquiries, node.balancer.trips), ({}, {}))
-        self.assertEqual([server.trips for server in node.balancer.servers.values()], [{}])
+        self.assertEqual((node.balancer.inquiries, node.balancer.attempts), ({}, {}))
+        self.assertEqual([server.attempts for server in node.balancer.servers.values()], [{}])
         self.assertEqual((node.servers.connecting, node.callers.kept), (0, 0))
 
     async def test_while_it_waits_for_a_connection(self) -> None:
@@ -426,7 +426,7 @@
                 caller = await running.caller()
                 caller.send()
                 # One further try is what the server has earned.
-                await until(lambda s=server, k=known: len(s.seen) == 2 and not k.trips)  # type: ignore[misc]
+                await until(lambda s=server, k=known: len(s.seen) == 2 and not k.attempts)  # type: ignore[misc]
                 await self.gone(running, caller)
                 server.play = serve_well
                 known.credit = 4.0
@@ -480,7 +480,7 @@
                     self.assertEqual(len(came), 2)
 
     async def test_what_an_inquiry_leaves_out_comes_free_once_also_with_an_answer_passed_on(self) -> None:
-        """A trip that may not be withdrawn outlives its inquiry; its answer comes when nobody is there."""
+        """An attempt that may not be withdrawn outlives its inquiry; its answer comes when nobody waits."""
         for large in (False, True):
             with self.subTest(large=large):
                 point = Point()
@@ -500,8 +500,10 @@
                 server = await self.stand_in(play)
                 running = await self.node(server, bounds={"cancel": False})
                 caller = await running.caller()
-                with mock.patch.object(running.node.balancer, "trip_ended") as ended:
-                    ended.side_effect = type(running.node.balancer).trip_ended.__get__(running.node.balancer)
+                with mock.patch.object(running.node.balancer, "attempt_ended") as ended:
+                    ended.side_effect = type(running.node.balancer).attempt_ended.__get__(
+                        running.node.balancer
+                    )
                     caller.send("write", b"x")
                     await point.reached.wait()
                     await self.gone(running, caller)
@@ -509,7 +511,7 @@
                     point.go.set()
                     await self.at_rest(running)
                 self.assertEqual(ended.call_count, 1)
-                # Kept for the next trip, or closed where not all of the answer was read.
+                # Kept for the next attempt, or closed where not all of the answer was read.
                 kept = 0 if large else 1
                 await until(lambda r=running, kept=kept: r.node.servers.open == kept)  # type: ignore[misc]
                 self.assertEqual(len(running.node.servers.targets["s0"].idle), kept)
@@ -542,7 +544,7 @@
 
 
 class Connections(NodeCase):
-    """A connection to a server that ends, or changes hands, as a trip begins or ends on it."""
+    """A connection to a server that ends, or changes hands, as an attempt begins or ends on it."""
 
     async def asyncSetUp(self) -> None:
         self.servers = Servers(clock, 3_000_000, 1_000_000, lambda: None, lambda server: True, Figures(()))
@@ -552,8 +554,8 @@
         entry = Entry(name, "z", 0, Condition.READY, 0)
         self.servers.learn([Listed(entry, stand_in.address)])
 
-    async def trip(self, **told: Any) -> TripEnd:
-        return await self.servers.trip("s", GET, 5_000_000, **told)
+    async def attempt(self, **told: Any) -> AttemptEnd:
+        return await self.servers.attempt("s", GET, 5_000_000, **told)
 
     async def test_a_close_that_came_and_was_not_read_is_no_connection_to_write_on(self) -> None:
         writers = []
@@ -571,17 +573,17 @@
         ]
         for number, end in enumerate(ends):
             with self.subTest(number):
-                self.assertIs((await self.trip(careful=True)).outcome, Outcome.SATISFIED)
+                self.assertIs((await self.attempt(careful=True)).outcome, Outcome.SATISFIED)
                 (connection,) = self.servers.targets["s"].idle
                 await asyncio.sleep(0.015)
                 assert connection.transport is not None
-                # The loop has not looked yet when the next trip begins.
+                # The loop has not looked yet when the next attempt begins.
                 connection.transport.pause_reading()
                 end(writers[-1])
                 await asyncio.sleep(0.005)
-                trip = await self.trip(careful=True)
-                assert trip.answer is not None
-                self.assertEqual((trip.outcome, trip.answer.body), (Outcome.SATISFIED, b"done"))
+                attempt = await self.attempt(careful=True)
+                assert attempt.answer is not None
+                self.assertEqual((attempt.outcome, attempt.answer.body), (Outcome.SATISFIED, b"done"))
                 self.assertEqual((server.opened, len(server.seen)), (2 * number + 2, 2 * number + 2))
                 for left in list(self.servers.targets["s"].idle):
                     left.drop()
@@ -590,17 +592,17 @@
         old, new = await self.stand_in(), await self.stand_in()
         self.learn(old)
         with LateConnects(old) as point:
-            trip = asyncio.create_task(self.trip())
+            attempt = asyncio.create_task(self.attempt())
             await point.reached.wait()
             self.learn(new)
             point.go.set()
-            self.assertIs((await trip).outcome, Outcome.MOOT)
+            self.assertIs((await attempt).outcome, Outcome.MOOT)
         await until(lambda: old.closed == 1)
         self.assertEqual(old.seen, [])
-        self.assertIs((await self.trip()).outcome, Outcome.SATISFIED)
+        self.assertIs((await self.attempt()).outcome, Outcome.SATISFIED)
         self.assertEqual(len(new.seen), 1)
 
-    async def test_an_earlier_trip_is_off_its_connection_before_the_next_one_goes(self) -> None:
+    async def test_an_earlier_attempt_is_off_its_connection_before_the_next_one_goes(self) -> None:
         """Or the next would be a second copy, where one may never be out beside another."""
         first: list[asyncio.StreamWriter] = []
         was_off: list[bool] = []
@@ -618,7 +620,7 @@
         point = Point()
         running = await self.node(await self.stand_in(play))
         state = running.node.balancer.tracks["read"]
-        # So a trip is given up after 150 ms, and there is time for another.
+        # So an attempt is given up after 150 ms, and there is time for another.
         state.slow, state.median = 50_000, 10_000
         self.assertEqual((await (await running.caller()).ask())[0], 200)
         self.assertEqual(was_off, [True])
@@ -648,7 +650,7 @@
                     self.assertEqual((await caller.answer())[0], 200)
                 self.assertEqual((len(old.seen), len(other.seen)), (0, 1))
 
-    async def test_a_trip_stopped_as_it_ends_leaves_no_connection(self) -> None:
+    async def test_a_attempt_stopped_as_it_ends_leaves_no_connection(self) -> None:
         async def early(seen: Seen, reader: Any, writer: asyncio.StreamWriter) -> None:
             writer.write(answer(500))
             await reader.read()
@@ -659,15 +661,15 @@
         call = Call("1", "read", None, None, False, GET[:-2], b"", rest=body, length=10)
 
         def stop(*told: Any) -> Any:
-            trip.cancel()
+            attempt.cancel()
             return read(*told)
 
         read = wire.read_answer
         with mock.patch.object(servers_module, "read_answer", stop):
-            trip = asyncio.create_task(
-                self.servers.trip("s", GET, 5_000_000, call=call, on_body_sent=lambda: None)
+            attempt = asyncio.create_task(
+                self.servers.attempt("s", GET, 5_000_000, call=call, on_body_sent=lambda: None)
             )
-            (end,) = await asyncio.gather(trip, return_exceptions=True)
+            (end,) = await asyncio.gather(attempt, return_exceptions=True)
         self.assertIsInstance(end, asyncio.CancelledError)
         await until(lambda: server.closed == 1)
         self.assertEqual((self.servers.open, self.servers.connecting), (0, 0))
@@ -691,7 +693,7 @@
                 await drained.stop()
 
         with mock.patch.object(Connection, "_drain_helper", drain):
-            end = await self.servers.trip("s", head, 5_000_000, call=call, on_body_sent=lambda: None)
+            end = await self.servers.attempt("s", head, 5_000_000, call=call, on_body_sent=lambda: None)
         self.assertEqual([seen.body for seen in server.seen], [b"0123456789"])
         self.assertIs(end.outcome, Outcome.RESET)
 
@@ -699,7 +701,7 @@
         server = await self.stand_in()
         running = await self.node(server, bounds={"cancel": False})
         with mock.patch.object(
-            running.node.balancer, "trip_ended", wraps=running.node.balancer.trip_ended
+            running.node.balancer, "attempt_ended", wraps=running.node.balancer.attempt_ended
         ) as ended:
             caller = await running.caller()
             caller.raw(b"POST /read/x HTTP/1.1\r\nHost: n\r\nReq-Id: 1\r\nContent-Length: 5000000\r\n\r\n")
@@ -984,7 +986,9 @@
 class Crowds(ProgramCase):
     """Idle clients that would fill the descriptors of a process that may have few."""
 
-    async def test_a_rush_leaves_descriptors_for_discoverys_return_for_trips_and_for_the_door(self) -> None:
+    async def test_a_rush_leaves_descriptors_for_discoverys_return_for_attempts_and_for_the_door(
+        self,
+    ) -> None:
         discovery_port, door_port = await self.free_port(), await self.free_port()
         self.point.go.set()
         for limit in (128, 512):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -89,7 +89,7 @@
         caller = await Caller(self.port).open()
         self.addCleanup(caller.leave)
         self.assertEqual((await caller.ask("read"))[0], 200)
-        self.assertEqual((newcomer.figures.trips, elder.figures.trips), (1, 0))
+        self.assertEqual((newcomer.figures.attempts, elder.figures.attempts), (1, 0))
         # What either door is told holds for both.
         assert newcomer.door is not None and elder.door is not None
         self.assertTrue(elder.door.desk.put_back("s1"))
@@ -122,7 +122,7 @@
         caller = await Caller(self.port).open()
         self.addCleanup(caller.leave)
         self.assertEqual((await caller.ask("read"))[0], 200)
-        self.assertEqual((elder.figures.trips, elder.part), (1, 1.0))
+        self.assertEqual((elder.figures.attempts, elder.part), (1, 1.0))
         # And the next one finds it.
         third = (await self.start(known=False)).node
         self.assertIn("s0", third.balancer.servers)
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -48,7 +48,7 @@
         beyond_share_payoff=0.05,
         list_is_asked=False,
         ask_every_us=10 * SECOND,
-        max_trips=3,
+        max_attempts=3,
         may_withdraw=True,
         may_advise_pause=True,
         max_pause_us=SECOND,
@@ -65,7 +65,7 @@
 
 
 def ordered(rotation: Rotation) -> list[str]:
-    """The whole order in which trips are dealt: who comes first, then the others."""
+    """The whole order in which attempts are dealt: who comes first, then the others."""
     return list(dict.fromkeys(names([*rotation.first, *rotation.ranked])))
 
 
@@ -176,7 +176,7 @@
                 self.play(seed)
 
     def test_chance_is_drawn_in_the_lists_order(self) -> None:
-        """Cold servers have part of a trip by chance; the list's order decides, not the changes'."""
+        """Cold servers have part of an attempt by chance; the list's order decides, not the changes'."""
         entries = [Entry(f"server-{i}", "z0", 0, Condition.READY, 0) for i in range(5)]
         again = [replace(entries[i], born_us=self.host.now) for i in (4, 1)] + [
             Entry("new", "z0", 0, Condition.READY, self.host.now)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -76,20 +76,20 @@
         self.assertEqual((await caller.ask("low"))[0], 200)
         self.assertEqual(len(other.seen), 1)
 
-    async def test_client_gone_is_told_and_its_trip_stopped(self) -> None:
+    async def test_client_gone_is_told_and_its_attempt_stopped(self) -> None:
         server = await self.stand_in(never_answer)
         running = await self.node(server)
         node, caller = running.node, await running.caller()
-        with mock.patch.object(node.balancer, "trip_ended", wraps=node.balancer.trip_ended) as ended:
+        with mock.patch.object(node.balancer, "attempt_ended", wraps=node.balancer.attempt_ended) as ended:
             caller.send()
             await until(lambda: len(server.seen) == 1)
             caller.leave()
             await until(lambda: server.closed == 1)
             await until(lambda: not node.inquiries.in_hand)
         self.assertIs(ended.call_args.args[2], Outcome.WITHDRAWN)
-        self.assertEqual((node.balancer.inquiries, node.balancer.trips), ({}, {}))
+        self.assertEqual((node.balancer.inquiries, node.balancer.attempts), ({}, {}))
 
-    async def test_client_gone_while_trips_may_not_be_stopped(self) -> None:
+    async def test_client_gone_while_attempts_may_not_be_stopped(self) -> None:
         server = await self.stand_in(never_answer)
         bounds = {"cancel": False}
         running = await self.node(server, bounds=bounds)
@@ -98,8 +98,8 @@
         await until(lambda: len(server.seen) == 1)
         caller.leave()
         await until(lambda: not node.balancer.inquiries)
-        self.assertEqual((len(node.balancer.trips), server.closed), (1, 0))
-        await until(lambda: not node.balancer.trips and not node.inquiries.in_hand)
+        self.assertEqual((len(node.balancer.attempts), server.closed), (1, 0))
+        await until(lambda: not node.balancer.attempts and not node.inquiries.in_hand)
 
     async def test_broken_and_oversized_input(self) -> None:
         server = await self.stand_in()
@@ -185,7 +185,7 @@
         self.assertIn("inquiry failed", logs.output[0])
         self.assertEqual((await caller.ask())[0], 200)
 
-    async def test_a_bug_in_a_trip_frees_its_place(self) -> None:
+    async def test_a_bug_in_a_attempt_frees_its_place(self) -> None:
         node = await self.node(await self.stand_in())
         caller = await node.caller()
         with (
@@ -193,7 +193,7 @@
             self.assertLogs("coraldeal.net.inquiry", "ERROR"),
         ):
             self.assertEqual((await caller.ask())[0], 500)
-        await until(lambda: not node.node.balancer.trips)
+        await until(lambda: not node.node.balancer.attempts)
         self.assertEqual((await caller.ask())[0], 200)
 
     async def test_an_inquiry_that_the_module_forgets_is_answered_in_time(self) -> None:
@@ -251,7 +251,7 @@
 
         for name in (
             "inquiry_arrived",
-            "trip_ended",
+            "attempt_ended",
             "client_left",
             "alarm",
             "note_came",
@@ -260,7 +260,7 @@
             setattr(balancer, name, watched(name))
         caller = await node.caller()
         self.assertEqual((await caller.ask("read", b"", "300m"))[0], 503)
-        ends = [args[2] for name, args in told if name == "trip_ended"]
+        ends = [args[2] for name, args in told if name == "attempt_ended"]
         self.assertIn(Outcome.CONNECT_FAILED, ends)
         self.assertIn("alarm", [name for name, _ in told])
         self.assertEqual(reentered, [])
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -34,7 +34,7 @@
     "beyond_share_payoff": 0.05,
     "list_is_asked": False,
     "ask_every": "10s",
-    "max_trips": 3,
+    "max_attempts": 3,
     "may_withdraw": True,
     "may_advise_pause": True,
     "max_pause": "1s",
@@ -70,14 +70,18 @@
         self.entries: list[Entry] = []
         self.acts: list[tuple[str, ...]] = []
         self.wakes: list[tuple[int, int, str]] = []
-        self.trips: dict[int, tuple[int, str, int]] = {}
+        self.attempts: dict[int, tuple[int, str, int]] = {}
         self.learned = 0
         self.balancer: Balancer | None = None
 
     # What the balancer may do.
 
     def send(self, inquiry: int, server: str, timeout_us: int) -> None:
-        self.trips[inquiry] = (self.trips[inquiry][0] + 1 if inquiry in self.trips else 0, server, self.now)
+        self.attempts[inquiry] = (
+            self.attempts[inquiry][0] + 1 if inquiry in self.attempts else 0,
+            server,
+            self.now,
+        )
         self.acts.append(("send", str(inquiry), server))
 
     def defer(self, inquiry: int, pause_us: int) -> None:
@@ -86,12 +90,12 @@
     def give_up(self, inquiry: int) -> None:
         self.acts.append(("give-up", str(inquiry)))
 
-    def withdraw(self, inquiry: int, trip: int) -> None:
+    def withdraw(self, inquiry: int, attempt: int) -> None:
         self.acts.append(("withdraw", str(inquiry)))
 
     def tell(self, peer: int, note: Note) -> None:
         names = {entry.tag: entry.server for entry in self.entries}
-        self.acts.append((note.kind.name.lower(), names[note.tag], str(note.trips)))
+        self.acts.append((note.kind.name.lower(), names[note.tag], str(note.attempts)))
 
     def wake(self, token: str, after_us: int) -> None:
         assert after_us >= 0, "a wake in the past"
@@ -185,9 +189,9 @@
 
     def do_ends(self, name: str, outcome: str, *flags: str) -> None:
         for number in numbers(name):
-            trip, _, sent_at = self.trips[number]
+            attempt, _, sent_at = self.attempts[number]
             over = outcome == "satisfied" or "over" in flags
-            self.started().trip_ended(number, trip, Outcome(outcome), self.now - sent_at, over, None)
+            self.started().attempt_ended(number, attempt, Outcome(outcome), self.now - sent_at, over, None)
 
     def do_note(self, peer: str, kind: str, server: str, **o: str) -> None:
         """Another node's note about a server; in an answer the bound is 4 unless it is told."""
@@ -213,7 +217,7 @@
             asked = f"{first}-{first + int(together) - 1}"
             told = {"tenant": tenants[self.learned % len(tenants)]} if tenants else {}
             self.do_inquiry(asked, track, **told)
-            self.do_after(f"{max(times[self.trips[number][1]] for number in numbers(asked))}us")
+            self.do_after(f"{max(times[self.attempts[number][1]] for number in numbers(asked))}us")
             self.do_ends(asked, "satisfied")
 
     def do_leaves(self, name: str) -> None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -1,4 +1,4 @@
-"""Trips on their connections: what went out, how often, and how its end is told."""
+"""Attempts on their connections: what went out, how often, and how its end is told."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from coraldeal.net.figures import Figures
 from coraldeal.net.host import clock
 from coraldeal.net.servers import Servers
-from coraldeal.net.wire import Listed, TripEnd
+from coraldeal.net.wire import AttemptEnd, Listed
 from tests.standins import (
     Played,
     Seen,
@@ -75,15 +75,15 @@
         self.servers.learn([Listed(entry("s"), stand_in.address)])
         return stand_in
 
-    async def trip(self, message: bytes = GET, timeout_us: int = 5 * SECOND) -> TripEnd:
-        return await self.servers.trip("s", message, timeout_us)
+    async def attempt(self, message: bytes = GET, timeout_us: int = 5 * SECOND) -> AttemptEnd:
+        return await self.servers.attempt("s", message, timeout_us)
 
     async def test_satisfied_with_report(self) -> None:
         async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.write(b"HTTP/1.1 103 Early\r\n\r\n" + answer(200, b"ok", "Srv-Load: queue=2"))
 
         server = await self.stand_in(play)
-        end = await self.trip(post(3))
+        end = await self.attempt(post(3))
         self.assertIs(end.outcome, Outcome.SATISFIED)
         self.assertEqual((end.report, end.answer and end.answer.body), ({"queue": 2.0}, b"ok"))
         self.assertEqual((server.seen[0].line, server.seen[0].body), ("POST /read/1 HTTP/1.1", bytes(3)))
@@ -95,7 +95,7 @@
             writer.write(replies[len(server.seen) - 1])
 
         server = await self.stand_in(play)
-        ends = [(await self.trip()).outcome for _ in replies]
+        ends = [(await self.attempt()).outcome for _ in replies]
         self.assertEqual(ends, [Outcome.ERROR, Outcome.FULL, Outcome.ERROR])
         self.assertEqual(len(server.seen), 3, "a redirect is not followed")
 
@@ -104,18 +104,18 @@
             writer.write(answer(200, b"not gzip", "Content-Encoding: gzip", "Set-Cookie: a=b"))
 
         server = await self.stand_in(play)
-        end = await self.trip()
+        end = await self.attempt()
         self.assertEqual(end.answer and end.answer.body, b"not gzip")
-        await self.trip()
+        await self.attempt()
         self.assertNotIn("cookie", server.seen[1].fields)
 
     async def test_a_request_on_a_broken_reused_connection_goes_out_once(self) -> None:
         server = await self.stand_in()
-        self.assertIs((await self.trip()).outcome, Outcome.SATISFIED)
+        self.assertIs((await self.attempt()).outcome, Outcome.SATISFIED)
         server.play = hang_up
         await asyncio.sleep(0.05)
         # A GET: a client session would repeat it here by itself.
-        self.assertIs((await self.trip()).outcome, Outcome.RESET)
+        self.assertIs((await self.attempt()).outcome, Outcome.RESET)
         await until(lambda: server.closed == 1)
         self.assertEqual((len(server.seen), server.opened), (2, 1))
 
@@ -123,7 +123,7 @@
         server = await self.stand_in()
         server.stop()
         await server.server.wait_closed()
-        self.assertIs((await self.trip()).outcome, Outcome.CONNECT_FAILED)
+        self.assertIs((await self.attempt()).outcome, Outcome.CONNECT_FAILED)
 
     async def test_connection_that_never_comes_up(self) -> None:
         full = socket.socket()
@@ -136,12 +136,12 @@
             filling.setblocking(False)
             filling.connect_ex(full.getsockname())
         self.servers.learn([Listed(entry("s"), f"127.0.0.1:{full.getsockname()[1]}")])
-        end = await self.trip()
+        end = await self.attempt()
         self.assertIs(end.outcome, Outcome.CONNECT_FAILED)
         self.assertGreaterEqual(end.latency_us, SECOND // 5 - 2000)
 
-    async def unread(self, after: str) -> tuple[TripEnd, int]:
-        """A server that takes a part of a large message; the trip ends by `after`; how much it got."""
+    async def unread(self, after: str) -> tuple[AttemptEnd, int]:
+        """A server that takes a part of a large message; the attempt ends by `after`; how much it got."""
         took = 0
         begun = asyncio.Event()
         read_on = asyncio.Event()
@@ -165,11 +165,13 @@
         server = await asyncio.start_server(talk, "127.0.0.1", 0)
         self.addCleanup(server.close)
         self.servers.learn([Listed(entry("s"), f"127.0.0.1:{server.sockets[0].getsockname()[1]}")])
-        trip = asyncio.create_task(self.trip(post(LARGE), SECOND // 5 if after == "time" else 5 * SECOND))
+        attempt = asyncio.create_task(
+            self.attempt(post(LARGE), SECOND // 5 if after == "time" else 5 * SECOND)
+        )
         await begun.wait()
         if after == "stop":
-            trip.cancel()
-        end = await trip
+            attempt.cancel()
+        end = await attempt
         read_on.set()
         await finished.wait()
         return end, took
@@ -196,9 +198,9 @@
         for play in (hang_up, cut):
             with self.subTest(play=play):
                 await self.stand_in(play)
-                self.assertIs((await self.trip()).outcome, Outcome.RESET)
+                self.assertIs((await self.attempt()).outcome, Outcome.RESET)
 
-    async def raw(self, data: bytes, later: bytes = b"") -> tuple[StandIn, TripEnd]:
+    async def raw(self, data: bytes, later: bytes = b"") -> tuple[StandIn, AttemptEnd]:
         """A server that answers with these bytes and keeps the connection."""
 
         async def play(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -209,7 +211,7 @@
 
         server = await self.stand_in(play)
         with mock.patch("coraldeal.net.servers.STALL", 0.1):
-            end = await self.trip()
+            end = await self.attempt()
         return server, end
 
     async def test_an_answer_that_is_none_is_spoilt_and_its_connection_closed(self) -> None:
@@ -243,7 +245,7 @@
                 server, end = await self.raw(data, later)
                 self.assertEqual(end.answer and end.answer.body, b"good")
                 server.play = serve_well
-                end = await self.trip()
+                end = await self.attempt()
                 self.assertEqual(end.answer and end.answer.body, b"done")
                 self.assertEqual(server.opened, 2)
         for load in ("\xff\xfe", "queue=nan,inflight=-1,x=inf", "queue=", "=,,=;", "q" * 5000):
@@ -253,7 +255,7 @@
 
     async def test_a_new_server_at_a_gone_ones_address_starts_afresh(self) -> None:
         server = await self.stand_in()
-        await self.trip()
+        await self.attempt()
         lost = self.servers.learn([Listed(entry("t"), server.address)])
         self.assertEqual((lost, list(self.servers.targets)), (["s"], ["t"]))
         await until(lambda: server.closed == 1)
@@ -320,8 +322,8 @@
         self.servers.learn([Listed(entry(name), end.address) for name, end in ends.items()])
         self.servers.learn([Listed(entry(f"s{i}"), f"127.0.0.1:{i + 1}") for i in range(100)])
         for name in ("b", "c", "a", "b"):
-            await self.servers.trip(name, GET, 5 * SECOND)
-            # Longer than a connection settles, so that the next trip there takes it.
+            await self.servers.attempt(name, GET, 5 * SECOND)
+            # Longer than a connection settles, so that the next attempt there takes it.
             await asyncio.sleep(0.02)
         targets = self.servers.targets = Counted(self.servers.targets)
         left = list(ends)
@@ -337,12 +339,12 @@
 
     async def test_time_out_and_stop_close_the_connection(self) -> None:
         server = await self.stand_in(never_answer)
-        self.assertIs((await self.trip(timeout_us=SECOND // 20)).outcome, Outcome.TIMEOUT)
+        self.assertIs((await self.attempt(timeout_us=SECOND // 20)).outcome, Outcome.TIMEOUT)
         await until(lambda: server.closed == 1)
-        trip = asyncio.create_task(self.trip())
+        attempt = asyncio.create_task(self.attempt())
         await until(lambda: len(server.seen) == 2)
-        trip.cancel()
-        self.assertIs((await trip).outcome, Outcome.WITHDRAWN)
+        attempt.cancel()
+        self.assertIs((await attempt).outcome, Outcome.WITHDRAWN)
         await until(lambda: server.closed == 2)
 
     async def test_latest_connection_is_reused_and_idle_ones_are_closed_early(self) -> None:
@@ -359,9 +361,9 @@
 
         ports: list[int] = []
         server = await self.stand_in(together)
-        await asyncio.gather(self.trip(), self.trip())
+        await asyncio.gather(self.attempt(), self.attempt())
         await asyncio.sleep(0.05)
-        await self.trip()
+        await self.attempt()
         self.assertEqual(ports[2], ports[1], "the connection used last goes first")
         self.assertEqual(self.servers.held, 2)
         # The other end would close after 3 s.
@@ -376,16 +378,16 @@
                 writer.write(answer(200, b"unasked"))
 
         server = await self.stand_in(play)
-        await self.trip()
+        await self.attempt()
         await asyncio.sleep(0.1)
-        end = await self.trip()
+        end = await self.attempt()
         self.assertEqual(end.answer and end.answer.body, b"asked")
         self.assertEqual(server.opened, 2)
 
     async def test_a_server_taken_off_the_list_gets_nothing(self) -> None:
         server = await self.stand_in()
         self.servers.learn([Listed(entry("s", Condition.GONE), "")])
-        self.assertIs((await self.trip()).outcome, Outcome.CONNECT_FAILED)
+        self.assertIs((await self.attempt()).outcome, Outcome.CONNECT_FAILED)
         self.assertEqual(server.seen, [])
 
     async def test_probe(self) -> None:
