The call behind a watch's end is made alone until it has hung

Cause: CallPlan.make_room took each call that was due for one beside calls that hang. Now only where calls are out. test_the_call_behind_a_watchs_end_is_made_alone failed before.

--- a/coraldeal/list_calls.py
+++ b/coraldeal/list_calls.py
@@ -73,7 +73,8 @@
 
     def make_room(self, now: float) -> int | None:
         """A further call is about to be made: which call gives way to it; None: there is room."""
-        self.suspects = True
+        # Not a call behind a watch's end: that one is made alone.
+        self.suspects = self.suspects or bool(self.out)
         oldest = next(iter(self.out), None)
         if oldest is None or len(self.out) < self.limits.most_out:
             return None
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -110,6 +110,15 @@
             assert due is not None
             self.assertLess(due + CALL_TIMEOUT, 10.0 + 3.5)
 
+    def test_the_call_behind_a_watchs_end_is_made_alone(self) -> None:
+        """All nodes may have lost their watch in that moment: a second call of each would crowd discovery."""
+        plan = CallPlan(limits(), "7")
+        due = plan.watch_ended(0.0, 10.0, fell_silent=False)
+        assert due is not None
+        self.assertIsNone(plan.make_room(due))
+        plan.begun(0, due)
+        self.assertEqual(plan.further_at(), due + limits().hung_after)
+
     def test_watches_that_end_at_once_are_not_opened_in_a_circle(self) -> None:
         self.assertIsNone(CallPlan(limits(), "7").watch_ended(0.0, 0.1, fell_silent=False))
 
