--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -44,7 +44,7 @@
     return in_own_order(sources, seed)
 
 
-def _limits(has_agent: bool, has_sources: bool) -> CallLimits:
+def call_limits(has_agent: bool, has_sources: bool) -> CallLimits:
     """By where the list comes from; of several sources one is asked at a time."""
     further, most = (FURTHER_AFTER_AT_AGENT, MOST_OUT_AT_AGENT) if has_agent else (FURTHER_AFTER, MOST_OUT)
     return CallLimits(
@@ -82,7 +82,7 @@
         self.on_failure = on_failure
         # Of the list held, as the place counts that it is asked for now; -1: the whole list is asked for.
         self.version = -1
-        self.plan = CallPlan(_limits(has_agent, bool(sources)), seed)
+        self.plan = CallPlan(call_limits(has_agent, bool(sources)), seed)
         # Calls and the watch at the present address, by number, and what is left open at former ones.
         self.calls: dict[int, ListCall] = {}
         self.superseded: dict[int, ListCall] = {}
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -63,7 +63,7 @@
 
 
 def limits() -> CallLimits:
-    return discovery._limits(has_agent=False, has_sources=False)
+    return discovery.call_limits(has_agent=False, has_sources=False)
 
 
 class Chains(unittest.TestCase):
