An attempt's message is made once, right before it is written

Found on a last reading: Servers.attempt made the whole message, body included, a first time only to see whether it is a HEAD request, and again to write it; that was on each attempt's way. Nothing stands between the two places that waits, so behaviour is as before.

--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -395,19 +395,20 @@
         try:
             async with asyncio.timeout(timeout_us / 1e6) as timer:
                 connection = await self._connect(target, careful)
+                if not (target.listed and self.may_send(server)):
+                    # It drains, was left out, or stands elsewhere now: told between choice and first byte.
+                    return AttemptEnd(Outcome.MOOT, self.clock() - started)
+                if not may_begin():
+                    return AttemptEnd(Outcome.MOOT, self.clock() - started)
+                text = message if isinstance(message, bytes) else message()
                 connection.set_response_params(
                     auto_decompress=False,
                     read_until_eof=True,
                     read_timeout=STALL,
                     read_bufsize=BODY_MOST,
-                    skip_payload=_written(message).startswith(b"HEAD "),
+                    skip_payload=text.startswith(b"HEAD "),
                 )
-                if not (target.listed and self.may_send(server)):
-                    # It drains, was left out, or stands elsewhere now: told between choice and first byte.
-                    return AttemptEnd(Outcome.MOOT, self.clock() - started)
-                if not may_begin():
-                    return AttemptEnd(Outcome.MOOT, self.clock() - started)
-                if not self._write(connection, _written(message)):
+                if not self._write(connection, text):
                     raise ConnectionError("closed before the first byte")
                 handed_over = call is None
                 if call is not None:
@@ -612,10 +613,6 @@
         return *head, bytes(body), None
 
 
-def _written(message: bytes | Callable[[], bytes]) -> bytes:
-    return message if isinstance(message, bytes) else message()
-
-
 def _seen(task: asyncio.Task[Told]) -> None:
     """What it raised is seen: the attempt that it read for has its outcome."""
     if not task.cancelled():
