Log each failed call at discovery with its number, age and how many more are out

A call that failed as the one before it was logged at debug level only, unless it had waited for 1.5 s; ends of superseded calls were never logged; a line spent its room on the address, twice.

Now each of the first 20 failures in a row has a line, then one in 5 s; a line has the number of the call, its age and how many others are out; the reason is 'status 503' or 'cut off, ConnectionResetError'. The door's figures have list_calls and list_calls_failed once a call has failed. What can't be read is still told once.

--- a/coraldeal/net/desk.py
+++ b/coraldeal/net/desk.py
@@ -33,8 +33,13 @@
             notes = {"notes_passed_over": passed_over, "notes_unsent": carrier.unsent}
         listener = node.callers.listener
         shortages = 0 if listener is None else listener.shortages
+        discovery = node.discovery
+        list_calls = {}
+        if discovery.failed_in_all:
+            list_calls = {"list_calls": discovery.made, "list_calls_failed": discovery.failed_in_all}
         return {
             **notes,
+            **list_calls,
             **({"accept_shortages": shortages} if shortages else {}),
             "passed": counts.satisfied,
             "dropped": counts.deferred,
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -33,6 +33,9 @@
 WAITED_LONG = 1.5
 # How many calls and watches at places where the list was before are left open until the new one has told.
 MOST_SUPERSEDED = 4
+# How many calls that fail in a row have a log line each, and how often one has a line after that, in seconds.
+FAILURES_LOGGED = 20
+FAILURE_LOGGED_EVERY = 5.0
 # All followers of a relay lose it in one moment; each goes on at another after a part of this, by chance.
 GO_ON_WITHIN = 0.5
 
@@ -92,11 +95,14 @@
         self.due: asyncio.TimerHandle | None = None
         # How many sources in a row have failed.
         self.failed_sources = 0
-        # Why the last call or watch ended, as it was told in the log; empty once a list has come since.
-        self.told_why = ""
-        # How many calls have failed since a list last came, and since when.
+        # How many calls have failed since a list last came, and since when; when the last of them was logged.
         self.failed_calls = 0
         self.failing_since = 0.0
+        self.failure_logged_at = 0.0
+        # What could not be read last: the same once more says nothing new.
+        self.unreadable_why = ""
+        # Of this process, for the operators.
+        self.failed_in_all = 0
 
     def follow(self) -> None:
         """Watch the list from the version held, unless that is done or a call for it is out."""
@@ -167,7 +173,7 @@
             self.version = -1 if is_back else told.version
             self.alive(call)
             self._log_answer(call, told)
-            self.told_why = ""
+            self.unreadable_why = ""
         elif call.number not in self.superseded:
             return
         self.on_list(told)
@@ -195,8 +201,7 @@
     def ended(self, call: ListCall, end: CallEnd) -> None:
         """A call or watch is over, not by this node's own doing."""
         if self.superseded.pop(call.number, None) is not None:
-            pairs = {"why": end.why, "address": call.address}
-            log.debug("watch over, superseded", extra={"pairs": pairs})
+            self._log("superseded call over", call, end.why)
             return
         if call.number not in self.calls:
             # It ended in the moment in which it was cancelled.
@@ -237,9 +242,19 @@
     # Log.
 
     def _count_failure(self, call: ListCall, why: str) -> None:
-        self.failing_since = self.failing_since if self.failed_calls else call.began_at
+        """Each call that failed is told, up to a number in a row; then one in a while."""
+        now = asyncio.get_running_loop().time()
+        if not self.failed_calls:
+            self.failing_since = call.began_at
         self.failed_calls += 1
-        self._log("list call failed", call, why)
+        self.failed_in_all += 1
+        is_known = call.was_unreadable and why == self.unreadable_why
+        is_due = self.failed_calls <= FAILURES_LOGGED or now - self.failure_logged_at >= FAILURE_LOGGED_EVERY
+        if is_due and not is_known:
+            self.failure_logged_at = now
+        level = logging.INFO if is_due and not is_known else logging.DEBUG
+        self.unreadable_why = why if call.was_unreadable else ""
+        self._log("list call failed", call, why, level)
 
     def _log_end(self, call: ListCall, end: CallEnd) -> None:
         if self.watch is call:
@@ -247,29 +262,30 @@
         else:
             self._count_failure(call, end.why)
 
-    def _log(self, event: str, call: ListCall, why: str) -> None:
-        """The same end once more says nothing new, and a line for each would hide what does.
-
-        A call that waited long is told each time, for waits add up to changes that come too late.
-        """
-        waited = asyncio.get_running_loop().time() - call.began_at
-        pairs: dict[str, object] = {"why": why, "version": call.version, "address": call.address}
-        has_waited_long = self.watch is not call and waited > WAITED_LONG
-        if self.watch is not call:
-            pairs |= {"call_ms": int(waited * 1000), "failed_calls": self.failed_calls}
-        level = logging.DEBUG if why == self.told_why and not has_waited_long else logging.INFO
-        self.told_why = why
-        log.log(level, event, extra={"pairs": pairs})
+    def _log(self, event: str, call: ListCall, why: str, level: int = logging.INFO) -> None:
+        log.log(level, event, extra={"pairs": {"why": why, **self._call_pairs(call)}})
+
+    def _call_pairs(self, call: ListCall) -> dict[str, object]:
+        """What tells one call from the others: its number, place and age, and how many more are out."""
+        lasted = asyncio.get_running_loop().time() - call.began_at
+        others = len(self.calls) + len(self.superseded) - (call.number in self.calls)
+        return {
+            "call": call.number,
+            "address": call.address,
+            "version": call.version,
+            "call_ms": int(lasted * 1000),
+            "others_out": others,
+            "failed_calls": self.failed_calls,
+        }
 
     def _log_answer(self, call: ListCall, told: ServerList) -> None:
         """One line for the first list of a call, with what came before it."""
         if call.has_told:
             return
         call.has_told = True
-        now = asyncio.get_running_loop().time()
-        pairs = {"version": told.version, "whole": told.whole, "servers": len(told.servers)}
-        pairs |= {"call_ms": int((now - call.began_at) * 1000), "failed_calls": self.failed_calls}
+        pairs = {**self._call_pairs(call), "whole": told.whole, "servers": len(told.servers)}
         if self.failed_calls:
+            now = asyncio.get_running_loop().time()
             pairs["without_list_ms"] = int((now - self.failing_since) * 1000)
         self.failed_calls = 0
         log.info("list answered", extra={"pairs": pairs})
--- a/coraldeal/net/list_call.py
+++ b/coraldeal/net/list_call.py
@@ -42,6 +42,17 @@
     fell_silent: bool
 
 
+def _reason(error: Exception) -> str:
+    """An error in the few words that a log line has room for; the address stands beside it there."""
+    match error:
+        case aiohttp.ClientResponseError():
+            return f"status {error.status}"
+        case aiohttp.ClientPayloadError() if error.__cause__ is not None:
+            return f"cut off, {type(error.__cause__).__name__}"
+        case _:
+            return f"{type(error).__name__}: {error}"
+
+
 class CallHost(Protocol):
     """Who made the call."""
 
@@ -101,6 +112,7 @@
         self.loop = asyncio.get_running_loop()
         self.began_at = self.loop.time()
         self.has_told = False
+        self.was_unreadable = False
         self.task: asyncio.Task[None]
 
     def start(self) -> None:
@@ -115,7 +127,7 @@
         try:
             why = await self._follow(silence)
         except (OSError, TimeoutError, aiohttp.ClientError) as error:
-            why = "it fell silent" if silence.timeout.expired() else f"{type(error).__name__}: {error}"
+            why = "it fell silent" if silence.timeout.expired() else _reason(error)
         except Exception:
             # A bug on the way to the module must not end the following for good.
             log.exception("watch failed")
@@ -169,6 +181,7 @@
         try:
             return read(text)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
+            self.was_unreadable = True
             self.host.unreadable(self)
             why = f"unreadable, {type(error).__name__}: {error}, in {text[:60]!r}"
             raise aiohttp.ClientPayloadError(why) from None
