--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -101,12 +102,39 @@
     slopes.add_argument("--quick", action="store_true", help="small sizes, and no processes of their own")
     slopes.add_argument("--out", type=Path, help="write all measures there, JSON")
     _scale_run(scales)
+    _crowd(add)
     demo = add("demo", "thirty seconds of a node among servers in trouble", "coraldeal rig demo")
     demo.add_argument("--seconds", type=float, default=30.0, help="default: 30")
     demo.add_argument("--out", type=Path, help="the directory of results")
     return made
 
 
+def _crowd(add: Callable[[str, str, str], argparse.ArgumentParser]) -> None:
+    made = add(
+        "crowd",
+        "new configurations in a row at a discovery that works through calls in turn, then a drain",
+        "coraldeal rig crowd --nodes 60 --work-ms 40",
+    )
+    made.add_argument("--nodes", type=int, default=60, help="node processes (default: 60)")
+    made.add_argument("--work-ms", type=float, default=40.0, help="discovery's work for a call (default: 40)")
+    made.add_argument("--most-waiting", type=int, default=0, help="calls that may wait there (default: any)")
+    made.add_argument("--drops-the-gone", action="store_true", help="no work for a caller that has gone")
+    made.add_argument("--ends-watches", action="store_true", help="a watch ends instead of telling")
+    made.add_argument("--moves", type=int, default=4, help="new configurations of each node (default: 4)")
+    made.add_argument(
+        "--spread", type=float, default=1.5, help="seconds over which nodes get the first (default: 1.5)"
+    )
+    made.add_argument(
+        "--drain-after", type=float, default=2.0, help="seconds behind the last of them (default: 2)"
+    )
+    made.add_argument(
+        "--published-after", type=float, default=0.0, help="seconds from the drain to its list (default: 0)"
+    )
+    made.add_argument("--seed", type=int, default=1)
+    made.add_argument("--commit", default="", help="the nodes are the program of this commit")
+    made.add_argument("--out", type=Path, help="keep the nodes' files and logs there")
+
+
 def _scale_run(commands: Any) -> None:
     text = "hollow nodes beside real ones follow a source through its troubles"
     made = commands.add_parser(
@@ -143,6 +171,39 @@
     return scale_run(args) if args.scale == "run" else slopes(args)
 
 
+def crowd(args: argparse.Namespace) -> int:
+    """Many nodes at one discovery; 1 where a drain was not kept."""
+    import tempfile
+
+    from coraldeal.rig.crowd.play import Options, play
+    from coraldeal.rig.crowd.service import ServiceLimits
+    from coraldeal.rig.experiment import Variant
+    from coraldeal.rig.nodes import program_of
+
+    if not (1 <= args.nodes <= 300 and 0 < args.work_ms <= 3000):
+        raise ExperimentError("--nodes is to be in 1 to 300, --work-ms over 0 and at most 3000")
+    limits = ServiceLimits(
+        args.work_ms / 1000,
+        most_waiting=args.most_waiting,
+        works_for_the_gone=not args.drops_the_gone,
+        ends_watches=args.ends_watches,
+    )
+    options = Options(
+        nodes=args.nodes,
+        limits=limits,
+        moves=args.moves,
+        spread=args.spread,
+        drain_after=args.drain_after,
+        published_after=args.published_after,
+        seed=args.seed,
+    )
+    with tempfile.TemporaryDirectory() as scratch:
+        program = program_of(Variant(name="nodes", commit=args.commit), Path(scratch))
+        outcome = clock.run(play(options, program, lambda text: print(text, file=sys.stderr), args.out))
+    print(outcome.text())
+    return int(outcome.broken > 0)
+
+
 def scale_run(args: argparse.Namespace) -> int:
     """The scale run; 1 where its verdict is not good."""
     from coraldeal.rig.play import default_folder
@@ -349,6 +410,7 @@
         "report": report,
         "serve-standins": serve_standins,
         "transfers": transfers,
+        "crowd": crowd,
         "scale": scale,
         "demo": demo,
     }
