New configurations in a row get one call at discovery, and calls at former places are closed

Cause: Discovery.move made a call for each new configuration, left up to four of those before open, and CallPlan.moved set suspects, so that a further call followed 1.5 s later although none had hung. Discovery has work for each of them. With 36 new configurations over the fleet in 4.4 s and 0.36 s of work a call it is 13 s of work, and more with the further calls.

Why it works: the first new configuration is followed at once. One within 1 s of the last waits until none has come for 1 s, at most 1.5 s (the place left closes what is open there no sooner), so that a row costs two calls. Watches at former places are read until the new one has told; calls that wait there are closed 0.1 s behind the new call. A new configuration alone makes no further call.

--- a/coraldeal/list_calls.py
+++ b/coraldeal/list_calls.py
@@ -3,6 +3,9 @@
 A change of the list has to be known 6 s after discovery has it and can be reached, whatever calls failed
 before. Calls are therefore not made one after another, each with a bounded wait of its own: once a call has
 hung, a further one is made beside it at even distances, so that one that is lost holds back none that is not.
+
+A call is work for a discovery that all nodes share, and where that is crowded it makes the crowd: new
+configurations in a row get one call, and none of them a further one beside it.
 """
 
 from __future__ import annotations
@@ -32,6 +35,10 @@
     # lived so long.
     waited_long: float = 1.5
     lived_long: float = 1.0
+    # New configurations closer than this are a row: the last of them gets the call, when none has come for as
+    # long. But no later than the place left first closes what is open there.
+    moves_apart: float = 1.0
+    longest_fold: float = 1.5
 
 
 class CallPlan:
@@ -44,16 +51,27 @@
         # When each call that is out began, the oldest first.
         self.out: dict[int, float] = {}
         self.last_begun = 0.0
-        # Whether a call has hung since the last answer, or the list moved: an answer may be long in coming.
+        # Whether a call has hung since the last answer: an answer may be long in coming.
         self.suspects = False
+        # When the list last moved, and first since the last call.
+        self.moved_at: float | None = None
+        self.first_move: float | None = None
 
     def begun(self, call: int, now: float) -> None:
         self.out[call] = self.last_begun = now
+        self.first_move = None
 
-    def moved(self) -> None:
-        """Calls made before were for another place: none of them is waited for any more."""
+    def moved(self, now: float) -> float:
+        """When the call at the new place is due. Calls made before were for another: none is waited for."""
         self.out.clear()
-        self.suspects = True
+        limits = self.limits
+        is_in_a_row = self.moved_at is not None and now - self.moved_at < limits.moves_apart
+        self.moved_at = now
+        if self.first_move is None:
+            self.first_move = now
+        if not is_in_a_row:
+            return now
+        return min(now + limits.moves_apart, self.first_move + limits.longest_fold)
 
     def answered(self) -> None:
         """A list has come: whatever else is out is not needed."""
@@ -71,9 +89,9 @@
             at = max(at, next(iter(self.out.values())) + limits.hung_after)
         return at
 
-    def make_room(self, now: float) -> int | None:
+    def make_room(self) -> int | None:
         """A further call is about to be made: which call gives way to it; None: there is room."""
-        # Not a call behind a watch's end: that one is made alone.
+        # Not a call behind a watch's end or a move: that one is made alone.
         self.suspects = self.suspects or bool(self.out)
         oldest = next(iter(self.out), None)
         if oldest is None or len(self.out) < self.limits.most_out:
@@ -83,9 +101,7 @@
 
     def failed(self, call: int, now: float) -> float | None:
         """A call ended without an answer: when the next one is due; None: after its caller's own wait."""
-        began = self.out.pop(call, None)
-        if began is None:
-            return self.further_at()
+        began = self.out.pop(call)
         limits = self.limits
         has_hung = now - began > limits.waited_long
         self.suspects = self.suspects or has_hung
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -31,6 +31,9 @@
 FURTHER_AFTER_AT_AGENT, MOST_OUT_AT_AGENT = 0.75, 5
 # A call that failed after so long is made again at once.
 WAITED_LONG = 1.5
+# From the call at a new place until calls at former ones are closed, in seconds: what came in the moment of a
+# new configuration is read by then.
+SUPERSEDED_WAIT = 0.1
 # How many calls and watches at places where the list was before are left open until the new one has told.
 MOST_SUPERSEDED = 4
 # How many calls that fail in a row have a log line each, and how often one has a line after that, in seconds.
@@ -105,8 +108,8 @@
         self.failed_in_all = 0
 
     def follow(self) -> None:
-        """Watch the list from the version held, unless that is done or a call for it is out."""
-        if self.address is not None and not self.calls:
+        """Watch the list from the version held, unless that is done or a call for it is out or due."""
+        if self.address is not None and not self.calls and self.due is None:
             self._call()
 
     def move(self, address: str | None) -> None:
@@ -119,11 +122,18 @@
         self.watch = None
         self.superseded |= self.calls
         self.calls = {}
-        self.plan.moved()
         most = 0 if address is None else MOST_SUPERSEDED
         for number in list(self.superseded)[: max(0, len(self.superseded) - most)]:
             self.superseded.pop(number).cancel()
-        self.follow()
+        self._schedule(None)
+        loop = asyncio.get_running_loop()
+        due = self.plan.moved(loop.time())
+        if address is None:
+            return
+        if due <= loop.time():
+            self._call()
+        else:
+            self._schedule(due)
 
     async def close(self) -> None:
         if self.due is not None:
@@ -146,8 +156,19 @@
         self.calls[call.number] = call
         self.plan.begun(call.number, now)
         self._schedule(self.plan.further_at())
+        if self.superseded:
+            asyncio.get_running_loop().call_later(SUPERSEDED_WAIT, self._close_superseded)
         call.start()
 
+    def _close_superseded(self) -> None:
+        """Calls at former places that still wait are work for discovery, and nobody needs their answers.
+
+        Watches there stay open until the new place has told.
+        """
+        for number, call in list(self.superseded.items()):
+            if not call.has_answer:
+                self.superseded.pop(number).cancel()
+
     def _schedule(self, at: float | None) -> None:
         """At most one next call is due: another time takes the place of the one before."""
         if self.due is not None:
@@ -159,7 +180,7 @@
     def _further(self) -> None:
         """One more call, beside those that hang."""
         self.due = None
-        gives_way = self.plan.make_room(asyncio.get_running_loop().time())
+        gives_way = self.plan.make_room()
         if gives_way is not None:
             self._count_failure(self.calls[gives_way], "it hung")
             self.calls.pop(gives_way).cancel()
--- a/coraldeal/net/list_call.py
+++ b/coraldeal/net/list_call.py
@@ -111,6 +111,7 @@
         self.host = host
         self.loop = asyncio.get_running_loop()
         self.began_at = self.loop.time()
+        self.has_answer = False
         self.has_told = False
         self.was_unreadable = False
         self.task: asyncio.Task[None]
@@ -145,6 +146,7 @@
             session.get(self.url, allow_redirects=False) as answer,
         ):
             answer.raise_for_status()
+            self.has_answer = True
             if answer.connection is not None:
                 silence.transport = answer.connection.transport
             due = self.began_at + self.times.first_object
--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -119,6 +119,9 @@
     made.add_argument("--work-ms", type=float, default=40.0, help="discovery's work for a call (default: 40)")
     made.add_argument("--most-waiting", type=int, default=0, help="calls that may wait there (default: any)")
     made.add_argument("--drops-the-gone", action="store_true", help="no work for a caller that has gone")
+    made.add_argument(
+        "--ends-together", action="store_true", help="a call that fails ends all that its node has open"
+    )
     made.add_argument("--ends-watches", action="store_true", help="a watch ends instead of telling")
     made.add_argument("--moves", type=int, default=4, help="new configurations of each node (default: 4)")
     made.add_argument(
@@ -186,6 +189,7 @@
         args.work_ms / 1000,
         most_waiting=args.most_waiting,
         works_for_the_gone=not args.drops_the_gone,
+        ends_together=args.ends_together,
         ends_watches=args.ends_watches,
     )
     options = Options(
--- a/coraldeal/rig/crowd/play.py
+++ b/coraldeal/rig/crowd/play.py
@@ -152,14 +152,17 @@
         return [self.stays.entry(), self.drains.entry()]
 
     async def _start_nodes(self) -> None:
-        starting = asyncio.Semaphore(STARTED_AT_ONCE)
-        for number in range(self.options.nodes):
+        numbers = range(self.options.nodes)
+        for number in numbers:
             opened = [await self.service.open_place(number, k) for k in range(self.options.moves + 1)]
             self.places.append([place for place, _ in opened])
             self.ports.append([at for _, at in opened])
+        # Behind the places, which might be given a port that a node is to have.
+        for number in numbers:
             name = f"n{number}"
             self.nodes.append(NodeProcess(name, number, 0, "z", free_port(), self.folder, self.program))
             self._configure(number, 0)
+        starting = asyncio.Semaphore(STARTED_AT_ONCE)
 
         async def start(node: NodeProcess) -> None:
             async with starting:
--- a/coraldeal/rig/crowd/service.py
+++ b/coraldeal/rig/crowd/service.py
@@ -34,6 +34,8 @@
     most_waiting: int = 0
     # Whether a call whose caller has gone still costs its work.
     works_for_the_gone: bool = True
+    # Whether a call that fails ends all that its node has open, watches too.
+    ends_together: bool = False
     # Whether a watch ends where it should tell a change.
     ends_watches: bool = False
 
@@ -89,10 +91,13 @@
         for writer in list(self.open):
             writer.transport.abort()
 
+    def end_watches(self) -> None:
+        for writer in list(self.watches):
+            writer.close()
+
     def tell(self, change: bytes) -> None:
         if self.service.limits.ends_watches:
-            for writer in list(self.watches):
-                writer.close()
+            self.end_watches()
             return
         for writer in self.watches:
             writer.write(change)
@@ -198,9 +203,17 @@
             self._fail(waiting, "expired")
 
     def _fail(self, waiting: _Waiting, outcome: str) -> None:
-        if not waiting.call.outcome:
-            waiting.writer.write(REFUSAL)
-        self._decide(waiting, outcome)
+        node = waiting.call.node
+        failed = [waiting]
+        if self.limits.ends_together:
+            failed += [other for other in self.queue if other.call.node == node]
+            for place in self.places:
+                if place.node == node:
+                    place.end_watches()
+        for each in failed:
+            if not each.call.outcome:
+                each.writer.write(REFUSAL)
+            self._decide(each, outcome)
 
     def _decide(self, waiting: _Waiting, outcome: str) -> None:
         if not waiting.call.outcome:
--- a/tests/test_drains_in_outages.py
+++ b/tests/test_drains_in_outages.py
@@ -36,6 +36,12 @@
     writer.write(answer(503))
 
 
+async def hang(service: ListService, seen: Seen, reader: Any, writer: Any) -> None:
+    """Nothing, until the node ends the connection."""
+    await reader.read()
+    raise ConnectionError
+
+
 async def refuse(service: ListService, seen: Seen, reader: Any, writer: Any) -> None:
     writer.write(answer(503))
 
@@ -164,6 +170,17 @@
         self.assertGreater(calls, 0)
         self.assertLessEqual(calls, watched_for / least_wait + 1)
 
+    async def test_a_call_that_waits_at_a_former_place_is_no_work_for_long(self) -> None:
+        """A new configuration comes while a call waits, and the next one waits too: the first is closed."""
+        fleet = await Fleet(self, hang).start(seed=1, ask_every=1.0)
+        await until(lambda: len(fleet.service.called_at) == 1, 20.0)
+        elsewhere = ListService(hang)
+        await elsewhere.start()
+        self.addCleanup(elsewhere.stop)
+        fleet.node.reload(elsewhere.address)
+        await until(lambda: len(elsewhere.called_at) == 1)
+        await until(lambda: fleet.service.closed == 1, 0.5)
+
     async def test_a_first_list_call_that_fails_late_leaves_time_for_a_second(self) -> None:
         """A server drains just after the start of nodes that by their seeds make their first call late."""
         latest = [seed for seed in range(1000) if crc32(f"{seed} 1".encode()) / 2**32 > 0.97][:3]
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -46,7 +46,7 @@
                 self._begin(outcomes.pop(0) if len(outcomes) > 1 else outcomes[0])
 
     def _begin(self, outcome: str) -> None:
-        gives_way = self.plan.make_room(self.now) if self.plan.out else None
+        gives_way = self.plan.make_room() if self.plan.out else None
         self.events = [event for event in self.events if event[1] != gives_way]
         number = len(self.begun)
         self.begun.append(self.now)
@@ -115,7 +115,7 @@
         plan = CallPlan(limits(), "7")
         due = plan.watch_ended(0.0, 10.0, fell_silent=False)
         assert due is not None
-        self.assertIsNone(plan.make_room(due))
+        self.assertIsNone(plan.make_room())
         plan.begun(0, due)
         self.assertEqual(plan.further_at(), due + limits().hung_after)
 
@@ -126,11 +126,41 @@
         plan = CallPlan(limits(), "7")
         for number in range(limits().most_out):
             plan.begun(number, float(number))
-        plan.moved()
+        plan.moved(5.0)
         plan.begun(9, 5.0)
-        self.assertIsNone(plan.make_room(6.0))
+        self.assertIsNone(plan.make_room())
         self.assertEqual(plan.out, {9: 5.0})
 
+    def test_a_new_configuration_alone_makes_no_further_call(self) -> None:
+        """Each node of a release would make one, at a discovery that works through the calls of all."""
+        plan = CallPlan(limits(), "7")
+        plan.begun(0, plan.moved(5.0))
+        self.assertEqual(plan.further_at(), 5.0 + limits().hung_after)
+
+    def test_new_configurations_in_a_row_get_one_call_for_the_last(self) -> None:
+        plan = CallPlan(limits(), "7")
+        self.assertEqual(plan.moved(10.0), 10.0)
+        plan.begun(0, 10.0)
+        for at, due in ((10.4, 11.4), (10.8, 11.8), (11.2, 10.4 + limits().longest_fold)):
+            self.assertAlmostEqual(plan.moved(at), due)
+        plan.begun(1, 11.9)
+        self.assertEqual(plan.moved(20.0), 20.0)
+
+    def test_new_configurations_without_end_are_followed_all_the_same(self) -> None:
+        """A place that was left closes what is open there 1.5 s later: the node must not go blind."""
+        plan, left_place_closes_after, step = CallPlan(limits(), "7"), 1.5, 0.1
+        not_followed_since: float | None = None
+        for count in range(200):
+            now = count * step
+            due = plan.moved(now)
+            if not_followed_since is None:
+                not_followed_since = now
+            if due <= now + step:
+                self.assertLess(due - not_followed_since, left_place_closes_after + step)
+                plan.begun(count, due)
+                not_followed_since = None
+        self.assertLess(len(plan.out), 2)
+
     def test_the_oldest_gives_way_and_none_before_it_has_hung(self) -> None:
         plan, most = CallPlan(limits(), "7"), limits().most_out
         for number in range(most):
@@ -138,7 +168,7 @@
         due = plan.further_at()
         assert due is not None
         self.assertGreaterEqual(due, limits().hung_after)
-        self.assertEqual(plan.make_room(due), 0)
+        self.assertEqual(plan.make_room(), 0)
 
 
 if __name__ == "__main__":
