A further call at discovery waits longer where answers are slow, and is not made where it ends the first

Cause: CallPlan made a further call 1.5 s behind the last one once a call had failed late, whatever that cost.

Why it works: calls refused within 20 ms of one another although made apart are taken to end together for ten minutes, and one call is out at a time then; one that has hung is closed before the next. Connections that break together say nothing. And a further call is made no sooner than twice what answers have taken of late (1.5 s, 3.05 at the most).

Ruled out: no further calls at all. The chains of docs/endings.md (late, at once, late) are over 6 s then.

The rig's discovery can be down before the drain (--outage), and end a node's calls together (--ends-together).

--- a/coraldeal/list_calls.py
+++ b/coraldeal/list_calls.py
@@ -4,8 +4,9 @@
 before. Calls are therefore not made one after another, each with a bounded wait of its own: once a call has
 hung, a further one is made beside it at even distances, so that one that is lost holds back none that is not.
 
-A call is work for a discovery that all nodes share, and where that is crowded it makes the crowd: new
-configurations in a row get one call, and none of them a further one beside it.
+A further call is work for a discovery that all nodes share, and where that is crowded it makes the crowd. It
+is made no sooner than twice the time that answers have taken of late, not for a new configuration alone, and
+not at all where discovery ends the calls of one node together: there it can only spoil the one that waits.
 """
 
 from __future__ import annotations
@@ -13,6 +14,9 @@
 from dataclasses import dataclass
 from zlib import crc32
 
+# A further call is made after so many times what answers have taken of late.
+ANSWER_TIMES = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class CallLimits:
@@ -39,6 +43,17 @@
     # long. But no later than the place left first closes what is open there.
     moves_apart: float = 1.0
     longest_fold: float = 1.5
+    # Calls refused within so short a time of one another ended together; for how long that is believed.
+    together_within: float = 0.02
+    together_for: float = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class _End:
+    """When a call that was refused had begun and ended."""
+
+    began: float
+    ended: float
 
 
 class CallPlan:
@@ -53,6 +68,11 @@
         self.last_begun = 0.0
         # Whether a call has hung since the last answer: an answer may be long in coming.
         self.suspects = False
+        # How long answers have taken of late; older ones count half with each that follows.
+        self.answer_time = 0.0
+        self.last_refusal: _End | None = None
+        # Until when calls of this node are taken to end together.
+        self.together_until = 0.0
         # When the list last moved, and first since the last call.
         self.moved_at: float | None = None
         self.first_move: float | None = None
@@ -73,8 +93,9 @@
             return now
         return min(now + limits.moves_apart, self.first_move + limits.longest_fold)
 
-    def answered(self) -> None:
+    def answered(self, call: int, now: float) -> None:
         """A list has come: whatever else is out is not needed."""
+        self.answer_time = max(now - self.out[call], self.answer_time / 2)
         self.out.clear()
         self.suspects = False
 
@@ -83,25 +104,34 @@
         if not self.out:
             return None
         limits = self.limits
+        if self._ends_together(self.last_begun):
+            return self.last_begun + limits.hung_after
         soon = self.suspects or limits.always_further
-        at = self.last_begun + (limits.further_after if soon else limits.hung_after)
+        distance = max(limits.further_after, ANSWER_TIMES * self.answer_time)
+        at = self.last_begun + (min(distance, limits.hung_after) if soon else limits.hung_after)
         if len(self.out) >= limits.most_out:
             at = max(at, next(iter(self.out.values())) + limits.hung_after)
         return at
 
-    def make_room(self) -> int | None:
+    def make_room(self, now: float) -> int | None:
         """A further call is about to be made: which call gives way to it; None: there is room."""
         # Not a call behind a watch's end or a move: that one is made alone.
         self.suspects = self.suspects or bool(self.out)
+        most_out = 1 if self._ends_together(now) else self.limits.most_out
         oldest = next(iter(self.out), None)
-        if oldest is None or len(self.out) < self.limits.most_out:
+        if oldest is None or len(self.out) < most_out:
             return None
         del self.out[oldest]
         return oldest
 
-    def failed(self, call: int, now: float) -> float | None:
-        """A call ended without an answer: when the next one is due; None: after its caller's own wait."""
+    def failed(self, call: int, now: float, refused: bool = False) -> float | None:
+        """A call ended without an answer: when the next one is due; None: after its caller's own wait.
+
+        `refused`: discovery itself said so, as against a connection that broke.
+        """
         began = self.out.pop(call)
+        if refused:
+            self._note_refusal(_End(began, now))
         limits = self.limits
         has_hung = now - began > limits.waited_long
         self.suspects = self.suspects or has_hung
@@ -110,6 +140,17 @@
             return max(soon, self.last_begun + limits.further_after) if self.out else soon
         return now + limits.least_wait + limits.spread * self._chance() if self.out else None
 
+    def _note_refusal(self, end: _End) -> None:
+        """Calls that were out at one time and refused at one are not independent."""
+        before, self.last_refusal = self.last_refusal, end
+        if before is None or end.began >= before.ended:
+            return
+        if end.ended - before.ended < self.limits.together_within:
+            self.together_until = end.ended + self.limits.together_for
+
+    def _ends_together(self, now: float) -> bool:
+        return now < self.together_until
+
     def watch_ended(self, opened: float, now: float, fell_silent: bool) -> float | None:
         """When the next call is due behind a watch's end; None: after its caller's own wait.
 
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -180,7 +180,7 @@
     def _further(self) -> None:
         """One more call, beside those that hang."""
         self.due = None
-        gives_way = self.plan.make_room()
+        gives_way = self.plan.make_room(asyncio.get_running_loop().time())
         if gives_way is not None:
             self._count_failure(self.calls[gives_way], "it hung")
             self.calls.pop(gives_way).cancel()
@@ -204,7 +204,7 @@
         if self.watch is not None or call.number not in self.calls:
             return
         self.watch = call
-        self.plan.answered()
+        self.plan.answered(call.number, asyncio.get_running_loop().time())
         self._schedule(None)
         del self.calls[call.number]
         for other in [*self.calls.values(), *self.superseded.values()]:
@@ -234,7 +234,7 @@
             self.watch = None
             next_at = self.plan.watch_ended(call.began_at, now, end.fell_silent)
         else:
-            next_at = self.plan.failed(call.number, now)
+            next_at = self.plan.failed(call.number, now, end.refused)
         if self.sources:
             self._go_on(call, end)
         elif next_at is None:
--- a/coraldeal/net/list_call.py
+++ b/coraldeal/net/list_call.py
@@ -40,6 +40,8 @@
 
     why: str
     fell_silent: bool
+    # Whether discovery answered with an error status.
+    refused: bool
 
 
 def _reason(error: Exception) -> str:
@@ -125,17 +127,19 @@
 
     async def _run(self) -> None:
         silence = _Silence(self.times.answer)
+        refused = False
         try:
             why = await self._follow(silence)
         except (OSError, TimeoutError, aiohttp.ClientError) as error:
             why = "it fell silent" if silence.timeout.expired() else _reason(error)
+            refused = isinstance(error, aiohttp.ClientResponseError)
         except Exception:
             # A bug on the way to the module must not end the following for good.
             log.exception("watch failed")
             why = "a bug"
         finally:
             silence.timer.cancel()
-        self.host.ended(self, CallEnd(why, silence.timeout.expired()))
+        self.host.ended(self, CallEnd(why, silence.timeout.expired(), refused))
 
     async def _follow(self, silence: _Silence) -> str:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.times.connect)
--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -133,6 +133,9 @@
     made.add_argument(
         "--published-after", type=float, default=0.0, help="seconds from the drain to its list (default: 0)"
     )
+    made.add_argument(
+        "--outage", type=float, default=0.0, help="seconds that discovery is down before it (default: 0)"
+    )
     made.add_argument("--seed", type=int, default=1)
     made.add_argument("--commit", default="", help="the nodes are the program of this commit")
     made.add_argument("--out", type=Path, help="keep the nodes' files and logs there")
@@ -199,6 +202,7 @@
         spread=args.spread,
         drain_after=args.drain_after,
         published_after=args.published_after,
+        outage=args.outage,
         seed=args.seed,
     )
     with tempfile.TemporaryDirectory() as scratch:
--- a/coraldeal/rig/crowd/play.py
+++ b/coraldeal/rig/crowd/play.py
@@ -46,6 +46,8 @@
     # From the drain until answers and watches have it: lists may come late, and count from the drain on.
     published_after: float = 0.0
     watched_for: float = 10.0
+    # How long discovery is down up to the drain.
+    outage: float = 0.0
     # Requests a second of each node.
     rate: float = 10.0
     seed: int = 1
@@ -217,6 +219,10 @@
         ]
         last_move = began + int((max(draws) + options.move_every * (options.moves - 1)) * 1e6)
         await sleep_until(last_move + int(options.drain_after * 1e6))
+        if options.outage:
+            self.service.go_down()
+            await asyncio.sleep(options.outage)
+            self.service.come_back()
         drained_us = now_us()
         await asyncio.sleep(options.published_after)
         self.drains.lifecycle = "Terminating"
--- a/coraldeal/rig/crowd/service.py
+++ b/coraldeal/rig/crowd/service.py
@@ -34,7 +34,8 @@
     most_waiting: int = 0
     # Whether a call whose caller has gone still costs its work.
     works_for_the_gone: bool = True
-    # Whether a call that fails ends all that its node has open, watches too.
+    # Whether all that a node has open, watches too, ends when a call of it is refused or its time is over,
+    # also of one that had ended before.
     ends_together: bool = False
     # Whether a watch ends where it should tell a change.
     ends_watches: bool = False
@@ -52,7 +53,7 @@
     outcome: str = ""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Waiting:
     call: Call
     writer: asyncio.StreamWriter
@@ -147,9 +148,13 @@
         self.entries = entries
         self.version = 1
         self.queue: deque[_Waiting] = deque()
+        # All calls that have no outcome yet, in the queue or not.
+        self.undecided: dict[_Waiting, None] = {}
         self.arrived = asyncio.Event()
         self.calls: list[Call] = []
         self.places: list[Place] = []
+        # While it is down, calls wait until they fail, also when it is back meanwhile.
+        self.is_down = False
         # When each node was first told of the present version.
         self.told_us: dict[int, int] = {}
         self.worker = asyncio.get_running_loop().create_task(self._work())
@@ -182,15 +187,27 @@
         """A call has come: it waits its turn, or is failed at once."""
         waiting = _Waiting(Call(place.node, place.number, now_us()), writer)
         self.calls.append(waiting.call)
-        if self.limits.most_waiting and len(self.queue) >= self.limits.most_waiting:
-            self._fail(waiting, "refused")
-            return waiting
-        self.queue.append(waiting)
-        self.arrived.set()
+        self.undecided[waiting] = None
         loop = asyncio.get_running_loop()
-        loop.call_later(self.limits.longest_wait, self._expire, waiting)
+        if self.is_down:
+            loop.call_later(self.limits.longest_wait, self._fail, waiting, "expired")
+        elif self.limits.most_waiting and len(self.queue) >= self.limits.most_waiting:
+            self._fail(waiting, "refused")
+        else:
+            self.queue.append(waiting)
+            self.arrived.set()
+            loop.call_later(self.limits.longest_wait, self._expire, waiting)
         return waiting
 
+    def go_down(self) -> None:
+        """All watches end, and no call is answered until it is back."""
+        self.is_down = True
+        for place in self.places:
+            place.end_watches()
+
+    def come_back(self) -> None:
+        self.is_down = False
+
     def left(self, waiting: _Waiting) -> None:
         """The caller of a call that waits has closed its connection."""
         self._decide(waiting, "gone")
@@ -206,7 +223,7 @@
         node = waiting.call.node
         failed = [waiting]
         if self.limits.ends_together:
-            failed += [other for other in self.queue if other.call.node == node]
+            failed += [other for other in self.undecided if other.call.node == node]
             for place in self.places:
                 if place.node == node:
                     place.end_watches()
@@ -217,6 +234,7 @@
 
     def _decide(self, waiting: _Waiting, outcome: str) -> None:
         if not waiting.call.outcome:
+            self.undecided.pop(waiting)
             waiting.call.outcome = outcome
             waiting.call.ended_us = now_us()
             waiting.decided.set()
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -46,7 +46,7 @@
                 self._begin(outcomes.pop(0) if len(outcomes) > 1 else outcomes[0])
 
     def _begin(self, outcome: str) -> None:
-        gives_way = self.plan.make_room() if self.plan.out else None
+        gives_way = self.plan.make_room(self.now) if self.plan.out else None
         self.events = [event for event in self.events if event[1] != gives_way]
         number = len(self.begun)
         self.begun.append(self.now)
@@ -115,7 +115,7 @@
         plan = CallPlan(limits(), "7")
         due = plan.watch_ended(0.0, 10.0, fell_silent=False)
         assert due is not None
-        self.assertIsNone(plan.make_room())
+        self.assertIsNone(plan.make_room(6.0))
         plan.begun(0, due)
         self.assertEqual(plan.further_at(), due + limits().hung_after)
 
@@ -128,7 +128,7 @@
             plan.begun(number, float(number))
         plan.moved(5.0)
         plan.begun(9, 5.0)
-        self.assertIsNone(plan.make_room())
+        self.assertIsNone(plan.make_room(6.0))
         self.assertEqual(plan.out, {9: 5.0})
 
     def test_a_new_configuration_alone_makes_no_further_call(self) -> None:
@@ -137,6 +137,64 @@
         plan.begun(0, plan.moved(5.0))
         self.assertEqual(plan.further_at(), 5.0 + limits().hung_after)
 
+    def test_a_discovery_that_answers_slowly_gets_no_further_call_soon(self) -> None:
+        """Answers took 1.2 s before it failed: a second call of each node would lengthen the queue."""
+        plan = CallPlan(limits(), "7")
+        plan.begun(0, 0.0)
+        plan.answered(0, 1.2)
+        plan.begun(1, 10.0)
+        plan.failed(1, 10.0 + CALL_TIMEOUT)
+        plan.begun(2, 14.0)
+        self.assertEqual(plan.further_at(), 14.0 + 2.4)
+
+    def test_an_answer_that_was_slow_once_is_forgotten(self) -> None:
+        plan = CallPlan(limits(), "7")
+        for number in range(4):
+            plan.begun(number, 10.0 * number)
+            plan.answered(number, 10.0 * number + (2.0 if number == 0 else ANSWER))
+        plan.begun(9, 100.0)
+        plan.failed(9, 100.0 + CALL_TIMEOUT)
+        plan.begun(10, 104.0)
+        self.assertEqual(plan.further_at(), 104.0 + limits().further_after)
+
+    def test_no_call_is_made_beside_one_that_would_end_with_it(self) -> None:
+        """Where a refused call ends the one that has waited, as in incident-315391."""
+        plan = CallPlan(limits(), "7")
+        plan.begun(0, 0.0)
+        plan.begun(1, 1.5)
+        for number in range(2):
+            plan.failed(number, 1.504, refused=True)
+        plan.begun(2, 2.0)
+        plan.failed(2, 2.0 + CALL_TIMEOUT)
+        plan.begun(3, 6.0)
+        self.assertEqual(plan.further_at(), 6.0 + limits().hung_after)
+        self.assertEqual(plan.make_room(9.1), 3)
+        self.assertEqual(plan.out, {})
+
+    def test_a_discovery_that_dies_says_nothing_of_how_it_ends_calls(self) -> None:
+        """All connections break in one moment then."""
+        plan = CallPlan(limits(), "7")
+        plan.begun(0, 0.0)
+        plan.begun(1, 1.5)
+        for number in range(2):
+            plan.failed(number, 2.0)
+        plan.begun(2, 3.0)
+        self.assertEqual(plan.further_at(), 3.0 + limits().further_after)
+
+    def test_calls_that_end_apart_are_not_taken_to_end_together(self) -> None:
+        """The second was made because the first had failed, or ended on its own."""
+        for began, ended in ((3.005, 3.01), (1.5, 4.5)):
+            plan = CallPlan(limits(), "7")
+            plan.begun(0, 0.0)
+            if began < 3.0:
+                plan.begun(1, began)
+            plan.failed(0, 3.0, refused=True)
+            if began > 3.0:
+                plan.begun(1, began)
+            plan.failed(1, ended, refused=True)
+            plan.begun(2, 6.0)
+            self.assertEqual(plan.further_at(), 6.0 + limits().further_after)
+
     def test_new_configurations_in_a_row_get_one_call_for_the_last(self) -> None:
         plan = CallPlan(limits(), "7")
         self.assertEqual(plan.moved(10.0), 10.0)
@@ -168,7 +226,7 @@
         due = plan.further_at()
         assert due is not None
         self.assertGreaterEqual(due, limits().hung_after)
-        self.assertEqual(plan.make_room(), 0)
+        self.assertEqual(plan.make_room(due), 0)
 
 
 if __name__ == "__main__":
