Calls refused behind a new configuration are made again within 0.8 s, and its 4 s have tests

What discovery has to tell counts 4 s after SIGHUP, and the grace is 1.5 s.

Cause: behind a call that failed at once the module waits 0.4 to 1.2 s, also where the list has just moved. For 4 s behind a move the plan itself waits 0.4 to 0.8 s.

Tests, on real processes: one and several new configurations, behind them calls that are answered, slow, hang, fail late, end, and are refused three times before a slow answer; a node without a watch within the time of asking.

--- a/coraldeal/list_calls.py
+++ b/coraldeal/list_calls.py
@@ -30,7 +30,8 @@
     most_out: int
     # Whether a further call is made so soon although no call has hung yet.
     always_further: bool = False
-    # The shortest wait behind a call that failed at once while others are out, and how far it is spread.
+    # The shortest wait behind a call that failed at once while others are out or the list has just moved, and
+    # how far it is spread.
     least_wait: float = 0.4
     spread: float = 0.4
     # How far calls made again at once are spread: many nodes may have been failed in one moment.
@@ -43,6 +44,8 @@
     # long. But no later than the place left first closes what is open there.
     moves_apart: float = 1.0
     longest_fold: float = 1.5
+    # What discovery has to tell counts as told so long after a new configuration.
+    told_after_move: float = 4.0
     # Calls refused within so short a time of one another ended together; for how long that is believed.
     together_within: float = 0.02
     together_for: float = 600.0
@@ -138,7 +141,13 @@
         if has_hung:
             soon = now + limits.spread_at_once * self._chance()
             return max(soon, self.last_begun + limits.further_after) if self.out else soon
-        return now + limits.least_wait + limits.spread * self._chance() if self.out else None
+        if self.out or self._has_moved_lately(now):
+            return now + limits.least_wait + limits.spread * self._chance()
+        return None
+
+    def _has_moved_lately(self, now: float) -> bool:
+        """What discovery has to tell counts as told soon after a new configuration: no long waits then."""
+        return self.moved_at is not None and now - self.moved_at < self.limits.told_after_move
 
     def _note_refusal(self, end: _End) -> None:
         """Calls that were out at one time and refused at one are not independent."""
--- a/tests/test_drains_in_outages.py
+++ b/tests/test_drains_in_outages.py
@@ -17,11 +17,13 @@
 from tests.processes import NodeProcess
 from tests.standins import CHUNKED_HEAD, Seen, StandIn, answer, chunked, entry, server_list, until
 
-# Seconds: when a change counts as told at the latest, how long a server that drains may still be sent to,
-# how long discovery keeps a call that it does not answer.
+# Seconds: when a change counts as told at the latest, and after a new configuration; how long a server that
+# drains may still be sent to; how long discovery keeps a call that it does not answer, and a slow one.
 TOLD_AT_THE_LATEST = 6.0
+TOLD_AFTER_SIGHUP = 4.0
 GRACE = 1.5
 CALL_TIMEOUT = 3.0
+SLOW_ANSWER = 2.9
 # How long a node may be held up, in seconds.
 HELD_UP = 0.15
 # Requests of each caller, a second.
@@ -59,6 +61,18 @@
         writer.write(chunked(b"\n"))
 
 
+async def end_at_once(service: ListService, seen: Seen, reader: Any, writer: Any) -> None:
+    """A watch that ends before it has told anything."""
+    writer.write(CHUNKED_HEAD)
+    await writer.drain()
+    writer.close()
+
+
+async def tell_slowly(service: ListService, seen: Seen, reader: Any, writer: Any) -> None:
+    await asyncio.sleep(SLOW_ANSWER)
+    await tell(service, seen, reader, writer)
+
+
 class ListService(StandIn):
     """Discovery for one node: plays one outcome after another, and the last one from then on."""
 
@@ -116,6 +130,45 @@
         return [round(sent - at, 2) for sent in self.sent_at if sent > at]
 
 
+class NewConfigurations(unittest.IsolatedAsyncioTestCase):
+    """What discovery has to tell as a new configuration comes counts 4 s later."""
+
+    async def late(self, seed: int, moves: list[list[CallPlay]]) -> list[float]:
+        """Requests past the grace after new configurations 0.4 s apart; each place plays its own calls."""
+        fleet = await Fleet(self, tell).start(seed=seed, ask_every=10.0)
+        fleet.service.whole = server_list(2, True, *fleet.entries("Ready"))
+        await until(lambda: "list answered" in fleet.node.log_text(), 20.0)
+        places = [ListService(*plays) for plays in moves]
+        for place in places:
+            await place.start()
+            self.addCleanup(place.stop)
+            place.whole = server_list(3, True, *fleet.entries("Terminating"))
+        first = time.monotonic()
+        for number, place in enumerate(places):
+            await asyncio.sleep(first + 0.4 * number - time.monotonic())
+            fleet.node.reload(place.address)
+        await asyncio.sleep(first + TOLD_AFTER_SIGHUP + GRACE + 2.0 - time.monotonic())
+        self.assertTrue(fleet.sent_at, "the server that drains was never in use")
+        return fleet.sent_after(first + TOLD_AFTER_SIGHUP + GRACE)
+
+    async def test_a_drain_is_kept_four_seconds_after_a_new_configuration_however_its_calls_fail(
+        self,
+    ) -> None:
+        cases: dict[str, list[list[CallPlay]]] = {
+            "answered": [[tell]],
+            "slowly": [[tell_slowly]],
+            "hangs": [[hang, tell]],
+            "late": [[fail_late, tell]],
+            "ends": [[end_at_once, end_at_once, tell]],
+            "refused, then slowly": [[refuse, refuse, refuse, tell_slowly]],
+            "several": [[tell], [tell], [tell], [tell]],
+            "several that hang, the last answers slowly": [[hang], [hang], [hang], [tell_slowly]],
+        }
+        plays = {(name, seed): self.late(seed, moves) for name, moves in cases.items() for seed in range(2)}
+        late = dict(zip(plays, await asyncio.gather(*plays.values()), strict=True))
+        self.assertEqual(late, {play: [] for play in plays})
+
+
 class DrainsInOutages(unittest.IsolatedAsyncioTestCase):
     async def test_list_calls_that_fail_one_after_another_keep_no_drained_server_in_use(self) -> None:
         """Discovery is back, and of the calls made from then on the first three fail: late, at once, late."""
@@ -170,6 +223,19 @@
         self.assertGreater(calls, 0)
         self.assertLessEqual(calls, watched_for / least_wait + 1)
 
+    async def test_a_node_without_a_watch_is_told_within_the_time_of_asking(self) -> None:
+        """Calls are refused; a server drains, and discovery answers again a second later."""
+        ask_every, failed_call_times = 1.0, 4
+        fleet = await Fleet(self, refuse).start(seed=3, ask_every=ask_every)
+        await until(lambda: len(fleet.service.called_at) >= 4, 20.0)
+        last_call = fleet.service.called_at[-1]
+        await asyncio.sleep(1.0)
+        fleet.service.plays = [tell]
+        told_at = last_call + failed_call_times * ask_every
+        await asyncio.sleep(told_at + GRACE + 2.0 - time.monotonic())
+        self.assertTrue(fleet.sent_at, "the server that drains was never in use")
+        self.assertEqual(fleet.sent_after(told_at + GRACE), [])
+
     async def test_a_call_that_waits_at_a_former_place_is_no_work_for_long(self) -> None:
         """A new configuration comes while a call waits, and the next one waits too: the first is closed."""
         fleet = await Fleet(self, hang).start(seed=1, ask_every=1.0)
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -195,6 +195,19 @@
             plan.begun(2, 6.0)
             self.assertEqual(plan.further_at(), 6.0 + limits().further_after)
 
+    def test_refusals_behind_a_new_configuration_leave_time_for_a_slow_answer(self) -> None:
+        """Three calls refused at once, then an answer after 2.9 s: within the 4 s and a grace of 1.5 s."""
+        told_after, grace, slow_answer = 4.0, 1.5, 2.9
+        for seed in range(50):
+            plan = CallPlan(limits(), str(seed))
+            due: float | None = plan.moved(0.0)
+            for number in range(3):
+                assert due is not None
+                plan.begun(number, due)
+                due = plan.failed(number, due + LASTS[AT_ONCE], refused=True)
+            assert due is not None
+            self.assertLess(due + slow_answer, told_after + grace)
+
     def test_new_configurations_in_a_row_get_one_call_for_the_last(self) -> None:
         plan = CallPlan(limits(), "7")
         self.assertEqual(plan.moved(10.0), 10.0)
