One LogThrottle for the three log lines that come at any rate; the hollow node waits once

Telling a line once in 10 s stood three times (Acceptor, Servers, Callers), each with its constant and its time. The rig's hollow node set a timer for each failed list, as Node did before.

--- a/coraldeal/logs.py
+++ b/coraldeal/logs.py
@@ -30,6 +30,27 @@
         return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
 
 
+# How often a log line that may come at any rate is written at the most, in seconds.
+THROTTLED_EVERY = 10.0
+
+
+class LogThrottle:
+    """Says of a line that could be written at any rate when it is due."""
+
+    __slots__ = ("every", "last")
+
+    def __init__(self, every: float = THROTTLED_EVERY) -> None:
+        self.every = every
+        self.last = -every
+
+    def is_due(self, now: float) -> bool:
+        """Whether `every` seconds have passed since it last said so; `now` is of any steady clock."""
+        if now - self.last < self.every:
+            return False
+        self.last = now
+        return True
+
+
 def set_up(level: str) -> None:
     """Log to standard error."""
     handler = logging.StreamHandler(sys.stderr)
--- a/coraldeal/net/accepting.py
+++ b/coraldeal/net/accepting.py
@@ -12,14 +12,13 @@
 import socket
 from collections.abc import Callable
 
+from coraldeal.logs import LogThrottle
 from coraldeal.net.listening import SHORTAGES
 
 log = logging.getLogger(__name__)
 
 # The pause behind a shortage, in seconds, doubled while it lasts.
 PAUSE_LEAST, PAUSE_MOST = 0.002, 0.1
-# How often shortages are told in the log, in seconds.
-TELL_EVERY = 10.0
 
 
 class Acceptor:
@@ -47,7 +46,7 @@
         self.resume: asyncio.TimerHandle | None = None
         # How many tries met a shortage, and when that was last told.
         self.shortages = 0
-        self.told_at = -TELL_EVERY
+        self.throttle = LogThrottle()
         listening.setblocking(False)
 
     @property
@@ -98,9 +97,7 @@
 
     def _rest(self, error: OSError) -> None:
         self.shortages += 1
-        now = self.loop.time()
-        if now - self.told_at >= TELL_EVERY:
-            self.told_at = now
+        if self.throttle.is_due(self.loop.time()):
             pairs = {"why": error, "times": self.shortages, "pause_ms": int(self.pause * 1000)}
             log.warning("no connection can be accepted", extra={"pairs": pairs})
         self.on_shortage()
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -17,6 +17,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
+from coraldeal.logs import LogThrottle
 from coraldeal.net.accepting import Acceptor
 from coraldeal.net.bodies import (
     BODY_LARGEST,
@@ -53,8 +54,6 @@
 BACKLOG = 1024
 # After how many seconds a connection that never brought a request may be given up where room is short.
 SILENT_LONG = 0.5
-# How often requests turned away unread are told of, in seconds: a flood of them must not become one of lines.
-TELL_EVERY = 10.0
 # What may stand once in a head: readers that pick another copy would see another request.
 ONCE = ("Host", "Req-Id", "Req-Deadline", "Idempotency-Key", "Req-Retry", "Req-Owner")
 
@@ -181,7 +180,7 @@
         # Bytes kept of large bodies, and answers being passed on.
         self.kept = 0
         self.passing = 0
-        self.told_at = -TELL_EVERY
+        self.throttle = LogThrottle()
         self.server = _Server(self._handle, make_room, self._turned_away)
         self.at_once = ACCEPT_AT_ONCE
         # The listening socket, kept open while another process of the node accepts.
@@ -405,12 +404,10 @@
     def _turned_away(self, status: int) -> None:
         """Count, and tell of it now and then."""
         self.away[status] = self.away.get(status, 0) + 1
-        now = asyncio.get_running_loop().time()
-        if now - self.told_at >= TELL_EVERY:
+        if self.throttle.is_due(asyncio.get_running_loop().time()):
             pairs = {str(known): count for known, count in sorted(self.away.items())}
             log.warning("requests turned away unread", extra={"pairs": pairs})
             self.away.clear()
-            self.told_at = now
 
     def _response(self, answer: Answer, close: bool = False) -> web.Response:
         response = web.Response(status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers))
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -19,6 +19,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from coraldeal.interface import Condition, Outcome, ServerId
+from coraldeal.logs import LogThrottle
 from coraldeal.net.bodies import BODY_LARGEST, TAKER_GRACE, Body, Progress, read_little
 from coraldeal.net.figures import Figures
 from coraldeal.net.listening import SHORTAGES
@@ -64,8 +65,6 @@
 PASSING_FAILURES = frozenset((errno.ECONNABORTED, errno.EHOSTUNREACH))
 # The pauses between tries of one connection, in seconds.
 OWN_PAUSES = (0.002, 0.005, 0.01)
-# How often this machine's own failures are told in the log, in seconds.
-TELL_EVERY = 10.0
 END_OF_HEAD = b"\r\n\r\n"
 
 
@@ -267,7 +266,7 @@
         self.figures = figures
         # Connections that this machine could not make, and when that was last told.
         self.own_failures = 0
-        self.own_told_at = -TELL_EVERY
+        self.own_failure_throttle = LogThrottle()
         # Connections on their way, and there.
         self.connecting = 0
         self.open = 0
@@ -516,9 +515,7 @@
 
     def _tell_own_failure(self, error: OSError) -> None:
         self.own_failures += 1
-        now = self.loop.time()
-        if now - self.own_told_at >= TELL_EVERY:
-            self.own_told_at = now
+        if self.own_failure_throttle.is_due(self.loop.time()):
             pairs = {"why": error, "times": self.own_failures}
             log.warning("no connection can be made from here", extra={"pairs": pairs})
 
--- a/coraldeal/rig/scale/hollow.py
+++ b/coraldeal/rig/scale/hollow.py
@@ -79,6 +79,7 @@
         self.kept = kept
         self.on_first: Callable[[], None] | None = on_list
         self.rewatch_wait = REWATCH_LEAST
+        self.rewatch: asyncio.TimerHandle | None = None
         self.draws = 0
         read = partial(read_list, offset_us=offset_us)
         # One address alone is the configuration's; several are the operator's `[lists]`.
@@ -111,7 +112,11 @@
         self.book.failures += 1
         self.draws += 1
         chance = crc32(f"{self.seed} watch {self.draws}".encode()) / 2**32
-        self.loop.call_later(self.rewatch_wait * (0.5 + chance), self.discovery.follow)
+        if self.rewatch is not None:
+            # One wait at a time, however many failures there were.
+            self.rewatch.cancel()
+        wait = self.rewatch_wait * (0.5 + chance)
+        self.rewatch = self.loop.call_later(wait, self.discovery.follow)
         self.rewatch_wait = min(2 * self.rewatch_wait, REWATCH_MOST)
 
     def may_send(self, server: ServerId) -> bool:
