--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -137,6 +137,13 @@
         "--outage", type=float, default=0.0, help="seconds that discovery is down before it (default: 0)"
     )
     made.add_argument("--seed", type=int, default=1)
+    made.add_argument(
+        "--draw",
+        type=int,
+        default=0,
+        metavar="N",
+        help="N plays, each drawn from its seed: from --seed on; what is told above is not used",
+    )
     made.add_argument("--commit", default="", help="the nodes are the program of this commit")
     made.add_argument("--out", type=Path, help="keep the nodes' files and logs there")
 
@@ -181,6 +188,7 @@
     """Many nodes at one discovery; 1 where a drain was not kept."""
     import tempfile
 
+    from coraldeal.rig.crowd.draw import draw
     from coraldeal.rig.crowd.play import Options, play
     from coraldeal.rig.crowd.service import ServiceLimits
     from coraldeal.rig.experiment import Variant
@@ -205,11 +213,19 @@
         outage=args.outage,
         seed=args.seed,
     )
+    drawn = [draw(seed) for seed in range(args.seed, args.seed + args.draw)]
+    failed = 0
     with tempfile.TemporaryDirectory() as scratch:
         program = program_of(Variant(name="nodes", commit=args.commit), Path(scratch))
-        outcome = clock.run(play(options, program, lambda text: print(text, file=sys.stderr), args.out))
-    print(outcome.text())
-    return int(outcome.broken > 0)
+        for played in drawn or [options]:
+            if drawn:
+                print(f"coraldeal rig crowd --draw 1 --seed {played.seed}: {played}")
+            outcome = clock.run(play(played, program, lambda text: print(text, file=sys.stderr), args.out))
+            print(outcome.text(), flush=True)
+            failed += outcome.broken > 0
+    if drawn:
+        print(f"{len(drawn) - failed} passed, {failed} failed")
+    return int(failed > 0)
 
 
 def scale_run(args: argparse.Namespace) -> int:
--- a/coraldeal/rig/crowd/play.py
+++ b/coraldeal/rig/crowd/play.py
@@ -156,7 +156,7 @@
         """Raises ExperimentError where a node does not start."""
         await self.stays.start()
         await self.drains.start()
-        self.service = CrowdedService(self.options.limits, self._entries, ASK_EVERY)
+        self.service = CrowdedService(self.options.limits, self._entries, ASK_EVERY, self.options.seed)
         try:
             await self._start_nodes()
             return await self._play()
--- a/coraldeal/rig/crowd/service.py
+++ b/coraldeal/rig/crowd/service.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from math import inf
 from typing import Any
+from zlib import crc32
 
 from coraldeal.rig.clock import now_us
 from coraldeal.rig.told import Change, NodeHistory, Outage, Watch
@@ -36,6 +37,8 @@
     most_waiting: int = 0
     # Whether a call whose caller has gone still costs its work.
     works_for_the_gone: bool = True
+    # The part of calls that are never answered, nor failed, though they have their turn.
+    lost_part: float = 0.0
     # Whether all that a node has open, watches too, ends when a call of it is refused or its time is over,
     # also of one that had ended before.
     ends_together: bool = False
@@ -150,9 +153,14 @@
     """The queue of calls, its one worker and the list."""
 
     def __init__(
-        self, limits: ServiceLimits, entries: Callable[[], list[dict[str, Any]]], ask_every: float
+        self,
+        limits: ServiceLimits,
+        entries: Callable[[], list[dict[str, Any]]],
+        ask_every: float,
+        seed: int = 1,
     ) -> None:
         self.limits = limits
+        self.seed = seed
         # The time that the nodes' settings give for asking, in seconds.
         self.ask_every = ask_every
         # All servers as the list has them now.
@@ -198,12 +206,19 @@
         """The present version was written to it."""
         self.history(node).written.append(Change(self.version, now_us() / 1e6))
 
+    def _is_lost(self) -> bool:
+        """Drawn from the seed and the number of the call."""
+        return crc32(f"{self.seed} lost {len(self.calls)}".encode()) / 2**32 < self.limits.lost_part
+
     def enter(self, place: Place, writer: asyncio.StreamWriter) -> _Waiting:
         """A call has come: it waits its turn, or is failed at once."""
         waiting = _Waiting(Call(place.node, place.number, now_us()), writer)
         self.calls.append(waiting.call)
         self.undecided[waiting] = None
         loop = asyncio.get_running_loop()
+        if self._is_lost():
+            # It waits until its caller leaves.
+            return waiting
         if self.is_down:
             loop.call_later(self.limits.longest_wait, self._fail, waiting, "expired")
         elif self.limits.most_waiting and len(self.queue) >= self.limits.most_waiting:
