--- a/coraldeal/rig/books.py
+++ b/coraldeal/rig/books.py
@@ -85,6 +85,18 @@
     generation: int
 
 
+class ListRow(msgspec.Struct, array_like=True):
+    """Something that happened to the list of a tier itself."""
+
+    layer: int
+    at_us: int
+    # `has`: it knows this of a server from now on; `down`, `up`: it can't be reached, or can again.
+    what: str
+    server: str = ""
+    # Ready, Terminating, Gone.
+    condition: str = ""
+
+
 class LateRow(msgspec.Struct, array_like=True):
     """A loop of the rig itself that ran late."""
 
@@ -101,6 +113,7 @@
     attempts: list[AttemptRow] = []
     servers: list[ServerRow] = []
     told: list[ToldRow] = []
+    lists: list[ListRow] = []
     late: list[LateRow] = []
     # CPU seconds this process used while the load ran.
     cpu_s: float = 0.0
@@ -111,6 +124,7 @@
         self.attempts += other.attempts
         self.servers += other.servers
         self.told += other.told
+        self.lists += other.lists
         self.late += other.late
         self.cpu_s += other.cpu_s
 
--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -103,6 +103,7 @@
     slopes.add_argument("--out", type=Path, help="write all measures there, JSON")
     _scale_run(scales)
     _crowd(add)
+    _soak(add)
     demo = add("demo", "thirty seconds of a node among servers in trouble", "coraldeal rig demo")
     demo.add_argument("--seconds", type=float, default=30.0, help="default: 30")
     demo.add_argument("--out", type=Path, help="the directory of results")
@@ -148,6 +149,19 @@
     made.add_argument("--out", type=Path, help="keep the nodes' files and logs there")
 
 
+def _soak(add: Callable[[str, str, str], argparse.ArgumentParser]) -> None:
+    made = add(
+        "soak",
+        "experiments drawn from seeds: troubles, failing system calls, stepped clocks, crowds",
+        "coraldeal rig soak --seeds 50 --side-by-side 3",
+    )
+    made.add_argument("--seeds", type=int, default=8, help="how many (default: 8)")
+    made.add_argument("--first", type=int, default=1, help="the first of them (default: 1)")
+    made.add_argument("--side-by-side", type=int, default=1, help="how many at once (default: 1)")
+    made.add_argument("--plant", default="", metavar="FAULT", help="a fault that is to be found")
+    made.add_argument("--out", type=Path, help="keep books, configurations and logs there")
+
+
 def _scale_run(commands: Any) -> None:
     text = "hollow nodes beside real ones follow a source through its troubles"
     made = commands.add_parser(
@@ -228,6 +242,23 @@
     return int(failed > 0)
 
 
+def soak(args: argparse.Namespace) -> int:
+    """Seeds one after another; 1 where one failed."""
+    from coraldeal.rig.soak.play import Options
+    from coraldeal.rig.soak.play import soak as play
+
+    if args.plant:
+        from coraldeal.rig.soak.planted import FAULTS
+
+        if args.plant not in FAULTS:
+            raise ExperimentError(f"--plant: {args.plant!r} is none of {', '.join(FAULTS)}")
+    options = Options(args.first, args.seeds, args.side_by_side, args.plant, args.out)
+    verdicts = clock.run(play(options, lambda text: print(text, flush=True)))
+    failed = sum(bool(verdict.broken) for verdict in verdicts)
+    print(f"{len(verdicts) - failed} passed, {failed} failed")
+    return int(failed > 0)
+
+
 def scale_run(args: argparse.Namespace) -> int:
     """The scale run; 1 where its verdict is not good."""
     from coraldeal.rig.play import default_folder
@@ -435,6 +466,7 @@
         "serve-standins": serve_standins,
         "transfers": transfers,
         "crowd": crowd,
+        "soak": soak,
         "scale": scale,
         "demo": demo,
     }
--- a/coraldeal/rig/crowd/play.py
+++ b/coraldeal/rig/crowd/play.py
@@ -17,6 +17,7 @@
 from coraldeal.rig.clock import now_us, sleep_until
 from coraldeal.rig.crowd.service import Call, CrowdedService, Place, ServiceLimits
 from coraldeal.rig.draws import stream
+from coraldeal.rig.experiment import ExperimentError
 from coraldeal.rig.nodes import NodeProcess, Program
 from coraldeal.rig.run import free_port
 from coraldeal.rig.told import (
@@ -188,6 +189,10 @@
                 await node.until_ready()
 
         await asyncio.gather(*(start(node) for node in self.nodes))
+        for node in self.nodes:
+            # Another process may have been given its port meanwhile, and answered for it.
+            if node.process is None or node.process.returncode is not None:
+                raise ExperimentError(f"{node.name} ended at its start: {node.last_words()}")
         # Their first calls are spread over some seconds, and may wait their turn.
         await asyncio.sleep(2.0 + 2 * self.options.nodes * self.options.limits.work)
         self.say(f"{len(self.nodes)} nodes are up, {len(self.service.calls)} calls until now")
--- a/coraldeal/rig/listing.py
+++ b/coraldeal/rig/listing.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from coraldeal.rig.books import Book, ToldRow
+from coraldeal.rig.books import Book, ListRow, ToldRow
 from coraldeal.rig.clock import now_us
 
 EMPTY_EVERY = 2.0
@@ -87,6 +87,7 @@
         changed = Listed(name, server.zone, server.cell, server.ports, condition, born_ms or server.born_ms)
         self.servers[name] = changed
         self.generation += 1
+        self.book.lists.append(ListRow(self.layer, now_us(), "has", name, condition))
         self.changes.append((self.generation, changed))
         del self.changes[:-KEPT]
         for door in self.doors:
@@ -94,6 +95,8 @@
 
     def set_down(self, down: bool) -> None:
         """Down, watches end and calls fail."""
+        if down != self.down:
+            self.book.lists.append(ListRow(self.layer, now_us(), "down" if down else "up"))
         self.down = down
         if down:
             for door in self.doors:
--- a/coraldeal/rig/nodes.py
+++ b/coraldeal/rig/nodes.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 from typing import Any
 
+from coraldeal.rig.clock import now_us
 from coraldeal.rig.draws import stream
 from coraldeal.rig.experiment import Experiment, ExperimentError, Variant, put
 from coraldeal.rig.listing import Listing
@@ -27,6 +28,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_WAIT = 20.0
+RELOAD_AFTER_US = 1_000_000
 # How long a call at a door is waited for, and a node told to end beyond the longest patience.
 DOOR_WAIT = 2.0
 KILL_SLACK = 0.7
@@ -177,6 +179,8 @@
         self.elder: asyncio.subprocess.Process | None = None
         self.door = 0
         self.starts = 0
+        # When its process was ready; 0: it is not yet.
+        self.ready_us = 0
         # When it was killed outright or told to end, and when it was ready again: (at, what).
         self.marks: list[tuple[int, str]] = []
         self.cpu_before = 0.0
@@ -219,6 +223,7 @@
     async def start(self) -> None:
         """Start it; it is not waited for."""
         self.starts += 1
+        self.ready_us = 0
         self.expected_end = False
         with (self.folder / f"{self.name}.log").open("wb" if self.starts == 1 else "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -289,9 +294,14 @@
                     raise ExperimentError(f"{self.name} ended at its start: {self.last_words()}")
                 with contextlib.suppress(OSError):
                     if await is_ready(self.port):
+                        self.ready_us = now_us()
                         return
                 await asyncio.sleep(0.02)
 
+    def may_be_reloaded(self) -> bool:
+        """The platform sends SIGHUP to no process before it is ready, nor in its first second."""
+        return bool(self.ready_us) and now_us() - self.ready_us > RELOAD_AFTER_US
+
     def last_words(self) -> str:
         path = self.folder / f"{self.name}.log"
         lines = path.read_text(encoding="utf-8", errors="replace").strip().splitlines()
--- a/coraldeal/rig/run.py
+++ b/coraldeal/rig/run.py
@@ -143,8 +143,11 @@
         seed: int,
         folder: Path,
         on_progress: Callable[[Run], None] | None = None,
+        program: Program | None = None,
     ) -> None:
         self.experiment = experiment
+        # What nodes are started with; None: what the variant says.
+        self.program = program
         self.variant = variant
         self.seed = seed
         self.folder = folder
@@ -165,7 +168,7 @@
     async def play(self) -> Played:
         """The whole run. Raises ExperimentError where it can't begin; interrupted, it keeps what there is."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        program = program_of(self.variant, self.folder)
+        program = self.program or program_of(self.variant, self.folder)
         try:
             ports = await self._start_servers()
             await self._start_lists(ports)
@@ -375,6 +378,8 @@
                 await node.upgrade(free_port(), longest)
                 self.doors.upgrades += 1
             return
+        if what == "node_hup" and not node.may_be_reloaded():
+            return
         self._mark(node, what)
         if what == "node_kill":
             self._count(node)
