--- a/tests/rig/test_soak.py
+++ b/tests/rig/test_soak.py
@@ -1,4 +1,4 @@
-"""The soak: what its shim forces, that a seed draws the same again, its judge, two seeds on real processes."""
+"""The soak: what its shim forces, that a seed draws the same again, its judge, two seeds on processes."""
 
 from __future__ import annotations
 
