--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -147,6 +147,21 @@
         plan.begun(2, 14.0)
         self.assertEqual(plan.further_at(), 14.0 + 2.4)
 
+    def test_an_agents_calls_are_held_back_alike(self) -> None:
+        """Five may be out there, 0.75 s apart: no fewer reasons to hold them back."""
+        at_agent = discovery.call_limits(has_agent=True, has_sources=False)
+        plan = CallPlan(at_agent, "7")
+        plan.begun(0, 0.0)
+        self.assertEqual(plan.further_at(), at_agent.further_after)
+        plan.answered(0, 0.6)
+        plan.begun(1, 10.0)
+        self.assertEqual(plan.further_at(), 10.0 + 1.2)
+        plan.begun(2, 11.2)
+        for number in (1, 2):
+            plan.failed(number, 11.21, refused=True)
+        plan.begun(3, 20.0)
+        self.assertEqual(plan.further_at(), 20.0 + at_agent.hung_after)
+
     def test_an_answer_that_was_slow_once_is_forgotten(self) -> None:
         plan = CallPlan(limits(), "7")
         for number in range(4):
