--- a/coraldeal/rig/run.py
+++ b/coraldeal/rig/run.py
@@ -36,7 +36,7 @@
     Stop,
     Told,
 )
-from coraldeal.rig.listing import Listed, Listing
+from coraldeal.rig.listing import Listed, Listing, told_rows
 from coraldeal.rig.nodes import ROOT, NodeProcess, Program, program_of
 from coraldeal.rig.rules import NodeMark
 from coraldeal.rig.timeline import Step, node_names, server_names, steps_of
@@ -367,8 +367,10 @@
                 self._mark(node, "node_kill")
                 await node.end()
             listing = self.listings[node.layer]
-            node.config["known"] = listing.whole(node.zone)
+            node.config["known"] = known = listing.whole(node.zone)
             node.path.write_bytes(msgspec.json.encode(node.config))
+            # A process has been told what its configuration holds.
+            self.book.told += told_rows(node.number, node.layer, known)
             await node.start()
             with contextlib.suppress(ExperimentError, TimeoutError):
                 await node.until_ready()
