--- a/coraldeal/rig/command.py
+++ b/coraldeal/rig/command.py
@@ -244,6 +244,7 @@
 
 def soak(args: argparse.Namespace) -> int:
     """Seeds one after another; 1 where one failed."""
+    from coraldeal.rig.play import default_folder
     from coraldeal.rig.soak.play import Options
     from coraldeal.rig.soak.play import soak as play
 
@@ -252,10 +253,11 @@
 
         if args.plant not in FAULTS:
             raise ExperimentError(f"--plant: {args.plant!r} is none of {', '.join(FAULTS)}")
-    options = Options(args.first, args.seeds, args.side_by_side, args.plant, args.out)
+    folder = args.out or default_folder(Path("soak"))
+    options = Options(args.first, args.seeds, args.side_by_side, args.plant, folder)
     verdicts = clock.run(play(options, lambda text: print(text, flush=True)))
     failed = sum(bool(verdict.broken) for verdict in verdicts)
-    print(f"{len(verdicts) - failed} passed, {failed} failed")
+    print(f"{len(verdicts) - failed} passed, {failed} failed; books of those that failed: {folder}")
     return int(failed > 0)
 
 
--- a/coraldeal/rig/nodes.py
+++ b/coraldeal/rig/nodes.py
@@ -224,7 +224,6 @@
         """Start it; it is not waited for."""
         self.starts += 1
         self.ready_us = 0
-        self.expected_end = False
         with (self.folder / f"{self.name}.log").open("wb" if self.starts == 1 else "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.program.command,
@@ -240,6 +239,8 @@
                 # Ctrl-C at a terminal reaches the whole group, and would end nodes in the middle of a run.
                 start_new_session=True,
             )
+        # Not before: until then the process that has ended is the one before.
+        self.expected_end = False
 
     def door_env(self) -> dict[str, str]:
         """What tells a process of its door, and of the folder where it meets the next one."""
--- a/coraldeal/rig/soak/play.py
+++ b/coraldeal/rig/soak/play.py
@@ -121,7 +121,24 @@
     played = await run.play()
     if drawn.faults is not None and library is not None:
         not_run += _not_forced(drawn, log)
-    return Verdict(seed, _about(drawn), judge(played), not_run)
+    broken = judge(played)
+    if broken:
+        _keep(played, folder)
+    late_ms = max((row.late_us // 1000 for row in played.book.late), default=0)
+    about = f"{_about(drawn)}; the rig itself was up to {late_ms} ms late"
+    return Verdict(seed, about, broken, not_run)
+
+
+def _keep(played: Played, folder: Path) -> None:
+    """What a failing seed is traced by: its books, and each violation with the rows of its request."""
+    judged = Judge(played.experiment, played.book, played.marks, played.start_us)
+    lines = [
+        line
+        for violation in judged.judge()
+        for line in (f"{violation.rule}: {violation.what}", *violation.trace)
+    ]
+    (folder / "violations.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
+    played.book.write(folder / "books.msgpack")
 
 
 def _not_forced(drawn: Drawn, log: Path) -> list[str]:
