Rig: one chunk(), one list entry, one judging of a failed soak seed; a twin in test_deadlines

Found on reading the whole change once more, behaviour unchanged. The crowd's discovery and the scale run's source each had their own copy of a chunk's framing beside the listing's, and the crowd's server spelled out a list entry that listing.entry makes. A soak seed that failed was judged twice, once for its lines and once for its traces. Two tests of held-up deadlines were alike but for what holds the node up; their assertions are as they were.

--- a/coraldeal/rig/crowd/play.py
+++ b/coraldeal/rig/crowd/play.py
@@ -18,6 +18,7 @@
 from coraldeal.rig.crowd.service import Call, CrowdedService, Place, ServiceLimits
 from coraldeal.rig.draws import stream
 from coraldeal.rig.experiment import ExperimentError
+from coraldeal.rig.listing import Listed, entry
 from coraldeal.rig.nodes import NodeProcess, Program
 from coraldeal.rig.run import free_port
 from coraldeal.rig.told import (
@@ -117,16 +118,7 @@
         self.port = int(self.listener.sockets[0].getsockname()[1])
 
     def entry(self) -> dict[str, Any]:
-        return {
-            "instanceId": self.name,
-            "hostPort": f"127.0.0.1:{self.port}",
-            "zone": "z",
-            "machineType": "m",
-            "cell": 0,
-            "lifecycle": self.lifecycle,
-            "weight": 1.0,
-            "startedAtMs": 0,
-        }
+        return entry(Listed(self.name, "z", 0, {"z": self.port}, self.lifecycle), "z")
 
     async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
--- a/coraldeal/rig/crowd/service.py
+++ b/coraldeal/rig/crowd/service.py
@@ -16,6 +16,7 @@
 from zlib import crc32
 
 from coraldeal.rig.clock import now_us
+from coraldeal.rig.listing import chunk
 from coraldeal.rig.told import Change, NodeHistory, Outage, Watch
 
 # Seconds: the distance of empty lines on a watch; how long a place that was left keeps what is open there.
@@ -65,10 +66,6 @@
     decided: asyncio.Event = field(default_factory=asyncio.Event)
 
 
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 class Place:
     """One port, at which one node asks."""
 
@@ -137,13 +134,13 @@
         gone.cancel()
 
     async def _watch(self, writer: asyncio.StreamWriter, gone: asyncio.Future[bytes]) -> None:
-        writer.write(HEAD + _chunk(self.service.whole_list()))
+        writer.write(HEAD + chunk(self.service.whole_list()))
         self.service.wrote(self.node)
         watch = self.watches[writer] = Watch(now_us() / 1e6)
         self.service.history(self.node).watches.append(watch)
         while not gone.done() and not writer.is_closing():
             await asyncio.wait((gone,), timeout=EMPTY_LINE_EVERY)
-            writer.write(_chunk(b"\n"))
+            writer.write(chunk(b"\n"))
         # One that this discovery ended has its time.
         watch.left = watch.ended == inf
         watch.ended = min(watch.ended, now_us() / 1e6)
@@ -190,7 +187,7 @@
     def changed(self, entries: list[dict[str, Any]]) -> None:
         """A new version, with these entries changed: told to all that watch."""
         self.version += 1
-        change = _chunk(self._line(False, entries))
+        change = chunk(self._line(False, entries))
         for place in self.places:
             place.tell(change)
 
--- a/coraldeal/rig/listing.py
+++ b/coraldeal/rig/listing.py
@@ -189,10 +189,10 @@
             generation = self.listing.generation
             told = {"generation": generation, "reset": False, "instances": [entry(ghost, self.zone)]}
             self._line(writer, told)
-            _chunk(writer, b'{"generation": "what", "instances": [{]}\n')
+            writer.write(chunk(b'{"generation": "what", "instances": [{]}\n'))
 
     def _line(self, writer: asyncio.StreamWriter, told: dict[str, Any]) -> None:
-        _chunk(writer, json.dumps(told).encode() + b"\n")
+        writer.write(chunk(json.dumps(told).encode() + b"\n"))
         self._note(told)
 
     def _note(self, told: dict[str, Any]) -> None:
@@ -239,9 +239,10 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.over.wait(), EMPTY_EVERY)
             if writer in self.watches:
-                _chunk(writer, b"\n")
+                writer.write(chunk(b"\n"))
                 await writer.drain()
 
 
-def _chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+def chunk(data: bytes) -> bytes:
+    """These bytes as one chunk of a chunked answer."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/coraldeal/rig/scale/source.py
+++ b/coraldeal/rig/scale/source.py
@@ -21,6 +21,7 @@
 
 from coraldeal.net.wire import LIST_PATH
 from coraldeal.rig.clock import now_us, sleep_until
+from coraldeal.rig.listing import chunk
 from coraldeal.rig.scale.books import DoorJob, SourceBook, SourceJob, Standing, Told, ToldRow, read, write
 from coraldeal.rig.scale.journal import OF_SOURCE, Change, generation
 from coraldeal.rig.scale.process import Process, orders, start
@@ -231,7 +232,7 @@
             self._tell_changes(follower, self._since(follower, after - 1))
         else:
             self.wholes += 1
-            follower.write(_chunk(self.whole(follower)))
+            follower.write(chunk(self.whole(follower)))
         for name in follower.services or ():
             self.followers.setdefault(name, {})[follower] = None
         if follower.services is None:
@@ -266,7 +267,7 @@
             self._tell(follower, self._line(entries, number), entries)
 
     def _line(self, entries: list[bytes], number: int) -> bytes:
-        return _chunk(b'{"generation":%d,"reset":false,"instances":[%b]}\n' % (number, b",".join(entries)))
+        return chunk(b'{"generation":%d,"reset":false,"instances":[%b]}\n' % (number, b",".join(entries)))
 
     def _tell(self, follower: Follower, line: bytes, entries: list[bytes]) -> None:
         follower.write(line)
@@ -386,10 +387,6 @@
                     follower.write(EMPTY)
 
 
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 async def main(path: Path) -> None:
     process = Process(await orders())
     job = read(path, SourceJob)
--- a/coraldeal/rig/soak/play.py
+++ b/coraldeal/rig/soak/play.py
@@ -121,20 +121,20 @@
     played = await run.play()
     if drawn.faults is not None and library is not None:
         not_run += _not_forced(drawn, log)
-    broken = judge(played)
+    judged = Judge(played.experiment, played.book, played.marks, played.start_us)
+    broken = broken_by(played, judged)
     if broken:
-        _keep(played, folder)
+        _keep(played, judged, folder)
     late_ms = max((row.late_us // 1000 for row in played.book.late), default=0)
     about = f"{_about(drawn)}; the rig itself was up to {late_ms} ms late"
     return Verdict(seed, about, broken, not_run)
 
 
-def _keep(played: Played, folder: Path) -> None:
+def _keep(played: Played, judged: Judge, folder: Path) -> None:
     """What a failing seed is traced by: its books, and each violation with the rows of its request."""
-    judged = Judge(played.experiment, played.book, played.marks, played.start_us)
     lines = [
         line
-        for violation in judged.judge()
+        for violation in judged.broken
         for line in (f"{violation.rule}: {violation.what}", *violation.trace)
     ]
     (folder / "violations.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
@@ -158,9 +158,8 @@
     return ", ".join(words)
 
 
-def judge(played: Played) -> list[str]:
-    """What a run broke: rules, crashes, memory, nodes out of use."""
-    judged = Judge(played.experiment, played.book, played.marks, played.start_us)
+def broken_by(played: Played, judged: Judge) -> list[str]:
+    """What a run broke: rules, by their judge, crashes, memory, nodes out of use."""
     first = {violation.rule: violation for violation in reversed(judged.judge())}
     broken = [f"{rule}: {judged.counts[rule]}, first {first[rule].what}" for rule in first]
     for name, figures in played.nodes.items():
--- a/tests/rig/test_soak.py
+++ b/tests/rig/test_soak.py
@@ -18,7 +18,7 @@
 from coraldeal.rig.rules import Judge
 from coraldeal.rig.run import Played
 from coraldeal.rig.soak.draw import LAST_TROUBLE, draw
-from coraldeal.rig.soak.play import Options, Verdict, command_for, judge, soak, told
+from coraldeal.rig.soak.play import Options, Verdict, broken_by, command_for, soak, told
 from coraldeal.rig.soak.shim import ShimError, SystemFaults, build
 from tests.rig.test_rules import MS, SECOND, START, attempt, tried
 
@@ -126,7 +126,8 @@
             played = Played(
                 experiment, Variant(name="x"), 1, START, START + 20 * SECOND, Book(tries=rows), [], {}, []
             )
-            self.assertEqual(len(judge(played)), expected)
+            judged = Judge(experiment, played.book, played.marks, START)
+            self.assertEqual(len(broken_by(played, judged)), expected)
 
     def test_a_failing_seed_tells_how_it_is_played_again(self) -> None:
         self.assertIn(command_for(9, ""), told(Verdict(9, "about", ["lost: 1"], []), ""))
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from tests.standins import SETTINGS, LateConnects, NodeCase, Seen, answer, hang_up, until
+from tests.standins import SETTINGS, Caller, LateConnects, NodeCase, Point, Seen, answer, hang_up, until
 
 SLACK = 0.15
 # Seconds that the client waits, and that something before the attempt takes.
@@ -26,7 +27,8 @@
         self.assertGreater(told, 0)
         self.assertLessEqual(told, PATIENCE - (seen_at - sent_at) + SLACK)
 
-    async def test_behind_a_wait_for_a_connection(self) -> None:
+    async def check_held_up(self, let_go: Callable[[Point], Awaitable[None]]) -> Caller:
+        """One request whose connection comes up only behind what `let_go` does."""
         server = await self.stand_in()
         node = await self.node(server, bounds=BOUNDS)
         caller = await node.caller()
@@ -34,12 +36,19 @@
             sent_at = time.monotonic()
             caller.send("write", b"x", f"{PATIENCE * 1000:.0f}m")
             await point.reached.wait()
-            await asyncio.sleep(DELAY)
-            point.go.set()
+            await let_go(point)
             await until(lambda: len(server.seen) == 1)
             seen_at = time.monotonic()
-        self.assertEqual((await caller.answer())[0], 200)
         self.check(server.seen[0], sent_at, seen_at)
+        return caller
+
+    async def test_behind_a_wait_for_a_connection(self) -> None:
+        async def late(point: Point) -> None:
+            await asyncio.sleep(DELAY)
+            point.go.set()
+
+        caller = await self.check_held_up(late)
+        self.assertEqual((await caller.answer())[0], 200)
 
     async def test_of_a_further_attempt(self) -> None:
         attempts: list[tuple[float, Seen]] = []
@@ -62,15 +71,9 @@
 
     async def test_behind_a_stand_still_of_the_node(self) -> None:
         """Held up between the choice of a server and the first byte."""
-        server = await self.stand_in()
-        node = await self.node(server, bounds=BOUNDS)
-        caller = await node.caller()
-        with LateConnects(server) as point:
-            sent_at = time.monotonic()
-            caller.send("write", b"x", f"{PATIENCE * 1000:.0f}m")
-            await point.reached.wait()
+
+        async def stand_still(point: Point) -> None:
             point.go.set()
             time.sleep(DELAY)
-            await until(lambda: len(server.seen) == 1)
-            seen_at = time.monotonic()
-        self.check(server.seen[0], sent_at, seen_at)
+
+        await self.check_held_up(stand_still)
