--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -263,15 +263,23 @@
         self.name = name
         self.handle = handle
         self.port = 0
+        # Returns what to wait for before the next bytes of a body are read; None: nothing.
+        self.before_read: Callable[[], Awaitable[Any] | None] = lambda: None
 
     @property
     def address(self) -> str:
         return f"{HOST}:{self.port}"
 
-    async def start(self, **options: Any) -> None:
-        server = await asyncio.start_server(self._serve, HOST, 0, **options)
-        self.server = server
-        self.port = server.sockets[0].getsockname()[1]
+    async def start(self, segment: int = 0, receive_buffer: int = 0) -> None:
+        """Listen. 0: as the system has it, else the largest TCP segment, and the size of the receive buffer."""
+        listening = socket.socket()
+        if segment:
+            listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment)
+        if receive_buffer:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        listening.bind((HOST, 0))
+        self.server = await asyncio.start_server(self._serve, sock=listening)
+        self.port = listening.getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = ServerConnection(reader, writer)
@@ -280,6 +288,8 @@
         try:
             while (head := await read_head(reader)) is not None:
                 connection.requests += 1
+                if (wait := self.before_read()) is not None:
+                    await wait
                 request = Request(*head, await read_body(reader, head[1]))
                 connection.waiting = True
                 await self.handle(self, request, connection)
