--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,13 @@
-"""A new version takes over while the elder's watch has fallen silent and a server drains; see claim.txt."""
+"""A server hangs while large bodies are passed on to it; see claim.txt."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import fcntl
+import socket
+import struct
 import sys
-import time
+import termios
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -25,123 +27,133 @@
     ServerConnection,
     free_port,
     instance,
+    read_body,
+    read_head,
     run_case,
     settings,
     track,
 )
 
-SERVERS = 12
-# A quarter of the servers begin to drain, and stay up.
-DRAINED = ("s-1", "s-2", "s-3")
-# Days that are played one after the other, each with processes of its own, until one breaks the rule.
-DAYS = 4
-# About 100 requests a second, a third of what the deployment's three nodes carry.
-CLIENTS, PAUSE = 10, 0.08
-DEADLINE_MS = 2500
-# What the settings allow a node that was told of a drain, and the 50 ms by which limits are longer on sockets.
-GRACE = 1.5 + 0.05
-# Seconds that are watched after that.
-WATCHED = 3.0
+SERVERS = 4
+# Large requests, so many at once, and the bytes of their bodies in turn.
+LARGE, AT_ONCE = 12, 2
+MIB = 1024 * 1024
+BODIES = tuple(int(size * MIB) for size in (1.75, 2, 2.25))
+# Connections to servers have the segments of an Ethernet network, and servers a fixed receive buffer. With the
+# 64 KiB segments of the loopback interface, systems would hold some MB for a server that reads nothing.
+SEGMENT, RECEIVE_BUFFER = 1448, 64 * 1024
+DEADLINE_MS = 1200
+# A final answer is owed half a second after the deadline at the latest; the limits on sockets are 50 ms longer.
+SLACK = 0.5 + 0.05
+# How long a client waits on, to see when the answer comes after all.
+WAIT = 40.0
 
 
 async def play(record: Record, folder: Path, trouble: bool, nodes: list[Node]) -> int:
-    for day in range(DAYS):
-        late, served = await play_day(record, folder, trouble, nodes, day)
-        text = f"day {day}: {served} served, new requests at servers that drain, after the grace: {late}"
-        record.line(text)
-        print(text)
-        if not served:
-            raise CouldNotRunError("the node does not serve")
-        if late:
-            return BROKEN
-    return HELD
-
-
-async def play_day(record: Record, folder: Path, trouble: bool, nodes: list[Node], day: int) -> tuple[int, int]:
-    """Play one upgrade during which servers begin to drain.
-
-    Returns how many requests began at these servers after the grace, and how many requests were served.
-    """
-    starts: list[tuple[float, str, str]] = []
-    served = 0
+    hung = asyncio.Event()
+    go_on = asyncio.Event()
 
     async def handle(server: Server, request: Request, connection: ServerConnection) -> None:
-        starts.append((record.now(), server.name, request.id))
         await asyncio.sleep(0.01)
+        if server.name == "s-1" and hung.is_set():
+            await go_on.wait()
+        record.line(f"{server.name} runs {request.id}, a body of {len(request.body)} bytes, and answers")
         connection.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
     servers = [Server(f"s-{index + 1}", handle) for index in range(SERVERS)]
     for server in servers:
-        await server.start()
-    entries = {server.name: instance(server.name, server.address) for server in servers}
-    discovery = Discovery(record, list(entries.values()))
+        await server.start(SEGMENT, RECEIVE_BUFFER)
+    # While it hangs, a server reads nothing: what comes stays with its system.
+    servers[0].before_read = lambda: go_on.wait() if hung.is_set() else None
+    discovery = Discovery(record, [instance(server.name, server.address) for server in servers])
     await discovery.start()
-    port = free_port()
     config = {
         "name": "n1",
-        "listen": f"{HOST}:{port}",
+        "listen": f"{HOST}:{free_port()}",
         "discovery": discovery.address,
-        "seed": f"8c1f30d27a5be96{day}",
+        "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": discovery.whole(),
-        "settings": settings([track("history", "retryable", 1000, DEADLINE_MS)]),
+        "settings": settings(
+            [track("history", "retryable", 1000, 2500), track("donate", "dedup", 500, DEADLINE_MS)]
+        ),
     }
-    elder = Node(record, folder, "n1", config, admin=True, log=f"elder-{day}")
-    newcomer = Node(record, folder, "n1", config, admin=True, log=f"newcomer-{day}")
-    nodes += [elder, newcomer]
-    elder.start()
-    await elder.wait_ready()
-    ended = False
-
-    async def client(number: int) -> None:
-        nonlocal served
-        one = Client(port)
-        index = 0
-        await asyncio.sleep(PAUSE * number / CLIENTS)
-        while not ended:
-            index += 1
-            try:
-                answer = await one.ask("GET", "/history/x", f"{day}{number:02x}{index:05x}", DEADLINE_MS, 5.0)
-            except TimeoutError:
-                one.close()
-                answer = None
-            served += answer is not None and answer.status == 200
-            await asyncio.sleep(PAUSE)
+    node = Node(record, folder, "n1", config)
+    nodes.append(node)
+    node.start()
+    await node.wait_ready()
+    # A little usual traffic first, so that the node has used every server.
+    for index in range(40):
+        one = Client(node.port)
+        answer = await one.ask("GET", "/history/x", f"a{index:07x}", 2500, 5.0)
         one.close()
-
-    clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
-    await asyncio.sleep(2.5)
+        if answer is None or answer.status != 200:
+            raise CouldNotRunError("the node does not serve")
     if trouble:
-        discovery.fall_silent()
-    silent_at = record.now()
-    await asyncio.sleep(0.1)
-    discovery.change(*(entries[name] | {"lifecycle": "Terminating"} for name in DRAINED))
-    drained_at = record.now()
-    record.line(f"{', '.join(DRAINED)} begin to drain")
-    await asyncio.sleep(0.5)
-    newcomer.start()
-    end = time.monotonic() + 6
-    while not (await newcomer.call_admin("status")).startswith("OK"):
-        if time.monotonic() > end:
-            raise CouldNotRunError("the newcomer did not say yes")
-        await asyncio.sleep(0.05)
-    yes_at = record.now()
-    record.line("the newcomer says yes")
-    elder.signal(signal.SIGTERM)
-    told_at = max(silent_at + 6 if trouble else drained_at, yes_at + 2)
-    binds_at = told_at + GRACE
-    record.line(f"the drains count as told at {told_at:.4f} at the latest, and bind from {binds_at:.4f}")
-    await asyncio.sleep(binds_at + WATCHED - record.now())
-    ended = True
-    await asyncio.gather(*clients)
-    late = [item for item in starts if item[1] in DRAINED and item[0] > binds_at]
-    for at, name, request_id in late[:20]:
-        record.line(f"{name} got the new request {request_id} at {at:.4f}")
-    record.line(f"the last new request at a server that drains began at "
-                f"{max((at for at, name, _ in starts if name in DRAINED), default=0):.4f}")
-    newcomer.stop()
-    elder.stop()
-    return len(late), served
+        hung.set()
+        record.line("s-1 hangs: its connections stay open, it reads and answers nothing")
+    late = 0
+
+    async def large(index: int) -> None:
+        """Send one large request, and record when its last byte was with the node's system, and the answer."""
+        nonlocal late
+        request_id, size = f"b{index:07x}", BODIES[index // AT_ONCE % len(BODIES)]
+        reader, writer = await asyncio.open_connection(HOST, node.port)
+        sock = writer.get_extra_info("socket")
+        writer.transport.set_write_buffer_limits(high=0)
+        head = (
+            f"POST /donate/x HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {request_id}\r\nReq-Deadline: {DEADLINE_MS}m\r\n"
+            f"Idempotency-Key: k{request_id}\r\nContent-Length: {size}\r\n\r\n"
+        ).encode()
+        reading = asyncio.create_task(read_head(reader))
+        text, sent_at = "no answer", None
+        try:
+            async with asyncio.timeout(WAIT):
+                writer.write(head + bytes(size))
+                draining = asyncio.create_task(writer.drain())
+                await asyncio.wait((draining, reading), return_when=asyncio.FIRST_COMPLETED)
+                # Its last byte has been taken once the system of the node has acknowledged all of them.
+                while not reading.done() and _unacknowledged(sock):
+                    await asyncio.sleep(0.005)
+                sent_at = record.now()
+                record.line(f"client: the last byte of {request_id}, {size} bytes long, is with the node's system")
+                answer = await asyncio.shield(reading)
+                if answer is not None:
+                    await read_body(reader, answer[1])
+                    text = answer[0]
+                else:
+                    text = "closed without an answer"
+        except TimeoutError:
+            text = f"no answer within {WAIT:.0f} s" if sent_at is not None else "not sent"
+        except (OSError, asyncio.IncompleteReadError) as error:
+            text = f"broken off, {error!r}"
+        reading.cancel()
+        writer.close()
+        if sent_at is None:
+            record.line(f"client: {request_id} was never sent whole, so nothing is owed: {text}")
+            return
+        took = record.now() - sent_at
+        owed = DEADLINE_MS / 1000 + SLACK
+        is_late = took > owed or not text.startswith("HTTP/1.1")
+        late += is_late
+        record.line(f"client: {request_id}: {text}, {took:.3f} s after its last byte, {owed:.2f} s allowed"
+                    + (" - LATE" if is_late else ""))
+
+    tasks = []
+    for index in range(LARGE):
+        tasks.append(asyncio.create_task(large(index)))
+        if index % AT_ONCE == AT_ONCE - 1:
+            await asyncio.sleep(0.25)
+    await asyncio.gather(*tasks)
+    go_on.set()
+    record.line(f"large requests: {LARGE}, without a final answer in time: {late}")
+    print(f"large requests: {LARGE}, without a final answer in time: {late}")
+    return BROKEN if late else HELD
+
+
+def _unacknowledged(sock: socket.socket) -> int:
+    """Return how many bytes of what was written the other side has not acknowledged."""
+    return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0])
 
 
 sys.exit(run_case(FOLDER, play))
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -265,6 +265,7 @@
         self.port = 0
         # Returns what to wait for before the next bytes of a body are read; None: nothing.
         self.before_read: Callable[[], Awaitable[Any] | None] = lambda: None
+        self.read_body = read_body
 
     @property
     def address(self) -> str:
@@ -290,7 +291,7 @@
                 connection.requests += 1
                 if (wait := self.before_read()) is not None:
                     await wait
-                request = Request(*head, await read_body(reader, head[1]))
+                request = Request(*head, await self.read_body(reader, head[1]))
                 connection.waiting = True
                 await self.handle(self, request, connection)
                 connection.waiting = False
