--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,7 +38,7 @@
 AT_A_TIME, BODY_BYTES = 250, 8 * MIB
 # How many bytes a second a slow server reads on each connection.
 SLOW = 200_000
-DEADLINE_MS = 2500
+DEADLINE_MS = 1200
 # For how many seconds the memory is watched.
 WATCHED = 30.0
 
@@ -73,7 +73,7 @@
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
         "known": discovery.whole(),
-        "settings": settings([track("history", "retryable", 1000, DEADLINE_MS)]),
+        "settings": settings([track("donate", "dedup", 500, DEADLINE_MS, group="cell")]),
     }
     node = Node(record, folder, "n1", config)
     nodes.append(node)
@@ -89,8 +89,8 @@
         try:
             reader, writer = await asyncio.open_connection(HOST, port)
             writer.write(
-                f"POST /history/x HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {request_id}\r\n"
-                f"Req-Deadline: {DEADLINE_MS}m\r\nContent-Length: {BODY_BYTES}\r\n\r\n".encode()
+                f"POST /donate/x HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {request_id}\r\n"
+                f"Req-Deadline: {DEADLINE_MS}m\r\nIdempotency-Key: k{request_id}\r\nContent-Length: {BODY_BYTES}\r\n\r\n".encode()
             )
             for _ in range(BODY_BYTES // (64 * 1024)):
                 writer.write(bytes(64 * 1024))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -75,7 +75,7 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": discovery.whole(),
         "settings": settings(
-            [track("history", "retryable", 1000, 2500), track("donate", "dedup", 500, DEADLINE_MS)]
+            [track("history", "retryable", 1000, 2500), track("donate", "dedup", 500, DEADLINE_MS, group="cell")]
         ),
     }
     node = Node(record, folder, "n1", config)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -83,7 +83,7 @@
         "tiers": ["front"],
         "tenants": [],
         "beyond_share_payoff": 0.1,
-        "discovery": "push",
+        "discovery": "ask",
         "reporting": {"fields": [], "how": "off"},
         "tracks": tracks,
         "bounds": {
