Memory: messages in transit are bounded by limits.memory_mb, and each transfer holds less

Cause: aiohttp holds 512 KiB for each caller's connection by default; the beginning of each large body stayed for the whole transfer, twice, when no further attempt could use it; nothing counted either, since limits.memory_mb was not read. Evidence: a line each second that summed what the node held showed 138 MB waiting to be forwarded, 27 MB of beginnings twice and 29 MB unwritten, of 391 MB; with the connection's buffer at 32 KiB and nothing else changed 148 MB instead. So not the concurrency limits, which the claim named. The same on answers to slow callers: 195 MB of 96.

Change: reads of 64 KiB that stop at the first one nobody takes, no second copies, and a budget (coraldeal/memory.py): a body reserves memory before it is read, waits unread where none is left, and is rejected with Retry-After if it waits too long. While memory is plentiful transfers read ahead as before. It works since the size of a transfer is bounded by construction and their number by the budget.

Rejected: a fixed number of transfers (fits one size), the process's own size as measure (freed memory stays).

--- a/coraldeal/config.py
+++ b/coraldeal/config.py
@@ -17,6 +17,8 @@
 
 from coraldeal.interface import Effect, Group, RequestClass, Settings, Tenant
 
+MIB = 1024 * 1024
+
 EFFECTS = {
     "retryable": Effect.IDEMPOTENT,
     "dedup": Effect.IDEMPOTENT_BY_KEY,
@@ -104,6 +106,12 @@
             raise SettingsError(f"setting {self.path}{key} is not a finite number")
         return value
 
+    def positive_number(self, key: str) -> float:
+        value = self.number(key)
+        if value <= 0:
+            raise SettingsError(f"setting {self.path}{key} is not above 0")
+        return value
+
     def boolean(self, key: str) -> bool:
         return bool(self._get(key, (bool,), "true or false"))
 
@@ -224,6 +232,8 @@
     seed: int
     # How many descriptors the node may use.
     sockets: int
+    # How many bytes of memory the node may use; None: unlimited.
+    memory_bytes: int | None
     # The server list that the node starts with, in discovery's format; None: there is none.
     known_list: Any
     # The values of the configuration file, without the known list.
@@ -338,8 +348,13 @@
     bounds = settings.object("bounds")
     peers, node_settings = _parse_peers(top, _parse_settings(settings, CLASS_DEFAULTS))
     sockets = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if top.has("limits") and (limits := top.object("limits")).has("sockets"):
-        sockets = min(sockets, limits.integer("sockets"))
+    memory_bytes = None
+    if top.has("limits"):
+        limits = top.object("limits")
+        if limits.has("sockets"):
+            sockets = min(sockets, limits.integer("sockets"))
+        if limits.has("memory_mb"):
+            memory_bytes = int(limits.positive_number("memory_mb") * MIB)
     return NodeConfig(
         name=top.text("name") if top.has("name") else "node",
         host=host,
@@ -348,6 +363,7 @@
         discovery=top.text("discovery") if top.has("discovery") else None,
         seed=_parse_seed(top),
         sockets=sockets,
+        memory_bytes=memory_bytes,
         known_list=top.object("known").values if top.has("known") else None,
         raw_values={key: value for key, value in top.values.items() if key != "known"},
         conn_idle_us=bounds.microseconds("conn_idle_ns"),
--- a/coraldeal/net/admin_interface.py
+++ b/coraldeal/net/admin_interface.py
@@ -49,6 +49,7 @@
             **message_counts,
             **list_calls,
             **({"accept_shortages": shortages} if shortages else {}),
+            **({"memory_refusals": counts.memory_refusals} if counts.memory_refusals else {}),
             "passed": counts.served,
             "dropped": counts.rejected,
             "bad_gateway": counts.failed,
--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -33,9 +33,19 @@
 MAX_BUFFERED_BODY = 1024 * 1024
 MAX_BUFFERED_TOTAL = 4 * 1024 * 1024
 
-# Bytes read from a connection in one turn of the event loop. The loop's default is 256 KiB, several times
-# over for each transfer: fifty transfers held 60 MB, and turns were long.
+# Bytes read from a connection in one turn of the event loop; the loop's default is 256 KiB.
 MAX_READ_BYTES = 64 * 1024
+# The same for a caller's connection before memory is reserved for a body.
+MIN_READ_BYTES = 16 * 1024
+# From how many unconsumed bytes of a body or an answer on its connection is not read any more; the read that
+# exceeds them is the last. aiohttp's default for a caller's connection is 512 KiB.
+MAX_WAITING_BYTES = 16 * 1024
+# How many unconsumed bytes of a body and of an answer are read ahead where memory is plentiful. The more of a
+# body is read, the sooner its caller's close behind it is seen.
+READ_AHEAD_BODY_BYTES = 640 * 1024
+READ_AHEAD_ANSWER_BYTES = 128 * 1024
+# How many bytes of an answer wait to be written before its receiver counts as slower than its server.
+MAX_UNWRITTEN_BYTES = 16 * 1024
 
 T = TypeVar("T")
 
@@ -119,22 +129,30 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
 
 
-def limit_read_size(transport: asyncio.BaseTransport) -> None:
-    """Limit what the event loop reads from this connection at once to `MAX_READ_BYTES`."""
+def allow_read_ahead(content: StreamReader, max_bytes: int) -> None:
+    """Have a connection read on until `max_bytes` of this body or answer wait to be consumed."""
+    # aiohttp holds twice this size.
+    content.set_read_chunk_size(max_bytes // 2)
+
+
+def limit_read_size(transport: asyncio.BaseTransport, max_bytes: int = MAX_READ_BYTES) -> None:
+    """Limit what the event loop reads from this connection at once to `max_bytes`."""
     # An attribute of the selector event loop's transports; those of other loops may lack it.
     if hasattr(transport, "max_size"):
-        transport.max_size = MAX_READ_BYTES
+        transport.max_size = max_bytes
 
 
 class StreamedBody:
-    """The rest of a caller's body, behind the bytes that were buffered; it is streamed to the server."""
+    """A caller's body that is streamed to the server: its buffered beginning, and the rest."""
 
-    __slots__ = ("bytes_read", "caller_error", "content", "is_sent", "is_started", "progress")
+    __slots__ = ("beginning", "bytes_read", "caller_error", "content", "is_sent", "is_started", "progress")
 
-    def __init__(self, content: StreamReader, buffered_bytes: int, progress: Progress) -> None:
+    def __init__(self, content: StreamReader, beginning: bytes, progress: Progress) -> None:
         self.content = content
         self.progress = progress
-        self.bytes_read = buffered_bytes
+        # Kept for further attempts until some of the rest was read.
+        self.beginning = beginning
+        self.bytes_read = len(beginning)
         # Whether some of the rest was read for a server: no further attempt can send the complete body then.
         self.is_started = False
         # Whether the last byte was passed to a server's connection.
@@ -145,9 +163,10 @@
     async def read(self) -> bytes:
         """Return the next piece, empty at the end.
 
-        Raises BadCall if the caller is too slow, sends too much or disconnects.
+        Raises InvalidRequestError if the caller is too slow, sends too much or disconnects.
         """
         self.is_started = True
+        self.beginning = b""
         try:
             piece = await read_piece(self.content, self.progress)
         except InvalidRequestError as error:
@@ -165,9 +184,12 @@
 
 
 async def read_piece(content: StreamReader, progress: Progress) -> bytes:
-    """Return the next piece of a body, empty at its end; raises BadCall if it is too slow or malformed."""
+    """Return the next piece of a body, empty at its end.
+
+    Raises InvalidRequestError if it is too slow or malformed.
+    """
     try:
-        piece = await progress.wait_for(content.readany())
+        piece = await progress.wait_for(content.read(MAX_READ_BYTES))
     except TimeoutError:
         raise InvalidRequestError(408, "the body did not come in time") from None
     except (web.RequestPayloadError, HttpProcessingError):
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import socket
-import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
@@ -18,23 +17,32 @@
 from multidict import CIMultiDict
 
 from coraldeal.logs import LogThrottle
+from coraldeal.memory import TRANSFER_BYTES, MemoryBudget, body_reservation
 from coraldeal.net.accepting import Acceptor
+from coraldeal.net.arrival import ARRIVAL_CHECK_INTERVAL, BodyArrival
 from coraldeal.net.bodies import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY,
     MAX_BUFFERED_TOTAL,
+    MAX_UNWRITTEN_BYTES,
+    MAX_WAITING_BYTES,
+    MIN_READ_BYTES,
+    READ_AHEAD_ANSWER_BYTES,
+    READ_AHEAD_BODY_BYTES,
     RECEIVER_GRACE_SECONDS,
     AnswerDeadline,
     Progress,
     StreamedBody,
+    allow_read_ahead,
     limit_read_size,
     read_piece,
     set_reset_on_close,
 )
 from coraldeal.net.counters import Counters
 from coraldeal.net.listening import open_listening_socket
+from coraldeal.net.memory import Reservation
 from coraldeal.net.servers import AnswerStream, MalformedAnswerError
-from coraldeal.net.unread import has_disconnected, has_unread, is_readable
+from coraldeal.net.unread import has_disconnected, has_unread, is_readable, seconds_since_last_byte
 from coraldeal.net.wire import (
     READY_PATH,
     STREAMING_THRESHOLD,
@@ -42,6 +50,7 @@
     CallerRequest,
     InvalidRequestError,
     parse_request,
+    rejection,
     request_class_of,
 )
 
@@ -63,11 +72,19 @@
 BACKLOG = 1024
 # After how many seconds a connection without any request may be closed if descriptors are short.
 UNUSED_TIMEOUT = 0.5
+# Seconds for which a body that has not arrived whole waits for memory; then its request is rejected.
+MAX_MEMORY_WAIT = 10.0
+# The fraction of its time for which a request that has arrived whole waits for memory.
+MEMORY_WAIT_FRACTION = 0.5
 # Headers that may appear only once in a request: a server that reads another copy than the node would see
 # another request.
 UNIQUE_HEADERS = ("Host", "Req-Id", "Req-Deadline", "Idempotency-Key", "Req-Retry", "Req-Owner")
 
 
+class MemoryShortageError(Exception):
+    """No memory was left for a request's body while the request could wait."""
+
+
 class _Connection(RequestHandler):
     """A caller's connection. A malformed request gets a short answer, and its connection is closed."""
 
@@ -79,6 +96,10 @@
         self.requests_before_head = -1
         # Bytes of the current request's body that are buffered for further attempts.
         self.buffered_bytes = 0
+        # The memory of the current request and its answer.
+        self.memory = Reservation(manager.memory)
+        # The last four bytes that were read.
+        self.last_read = b""
 
     def close_idle(self, reason: str) -> None:
         """Close the connection; no request on it may be waiting for an answer."""
@@ -97,6 +118,7 @@
         if data and _is_idle(self) and self.requests_before_head != self._request_count:
             self.requests_before_head = self._request_count
             self._next_keepalive_close_time = self._loop.time() + HEAD_TIMEOUT
+        self.last_read = (self.last_read + data[-4:])[-4:]
         super().data_received(data)
 
     def _process_keepalive(self) -> None:
@@ -133,10 +155,12 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         on_connection: Callable[[], None],
         on_refused: Callable[[int], None],
+        memory: MemoryBudget,
     ) -> None:
         super().__init__(handler, request_factory=self._request, handler_cancellation=True)
         self.on_connection = on_connection
         self.on_refused = on_refused
+        self.memory = memory
 
     def __call__(self) -> RequestHandler:
         return _Connection(
@@ -147,12 +171,14 @@
             keepalive_timeout=IDLE_TIMEOUT,
             # A body that is refused because of its length is not read.
             lingering_time=0,
+            # aiohttp holds twice this size.
+            read_bufsize=MAX_WAITING_BYTES // 2,
         )
 
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         """Register a new connection and make room for it if necessary."""
         super().connection_made(handler, transport)
-        limit_read_size(transport)
+        limit_read_size(transport, MIN_READ_BYTES)
         self.on_connection()
 
     def _request(
@@ -179,8 +205,18 @@
         is_at_limit: Callable[[], bool],
         make_room: Callable[[], None],
         counters: Counters,
+        memory: MemoryBudget,
+        memory_retry_after_us: Callable[[], int],
     ) -> None:
         self.counters = counters
+        # The memory of messages in transit, and the Retry-After, in microseconds, where none is left.
+        self.memory = memory
+        self.memory_retry_after_us = memory_retry_after_us
+        # How many bytes of request bodies may be buffered beyond the size that is always buffered.
+        self.max_buffered_bytes = MAX_BUFFERED_TOTAL
+        # The request classes that have had large answers. Their requests are rejected while no memory is left
+        # for such an answer: after the attempt it would be too late.
+        self.large_answer_classes: dict[str, None] = {}
         # Closes idle connections if the node has more descriptors open than it should.
         self.make_room = make_room
         # The deadline of each request class, for requests without one of their own.
@@ -196,7 +232,8 @@
         self.buffered_bytes = 0
         self.streaming_answers = 0
         self.throttle = LogThrottle()
-        self.server = _Server(self._handle, make_room, self._count_refused)
+        self.memory_throttle = LogThrottle()
+        self.server = _Server(self._handle, make_room, self._count_refused, memory)
         self.accepts_per_turn = MAX_ACCEPTS_PER_TURN
         # The listening socket, kept open while another process of the node accepts.
         self.listening_socket: socket.socket | None = None
@@ -316,6 +353,9 @@
         finally:
             self.buffered_bytes -= connection.buffered_bytes
             connection.buffered_bytes = 0
+            connection.memory.release()
+            if request.transport is not None:
+                limit_read_size(request.transport, MIN_READ_BYTES)
 
     async def _answer(self, request: web.BaseRequest, connection: _Connection) -> web.StreamResponse:
         """Read the request and return its answer."""
@@ -336,6 +376,8 @@
                 self.counters.count_answer(class_name, error.status)
             headers = (("Content-Type", "text/plain"),)
             return self._response(Answer(error.status, f"{error}\n".encode(), headers), close=True)
+        except MemoryShortageError:
+            return self._refuse_for_memory(request, connection)
         if call.body_stream is not None:
             # At an early answer the caller may still be sending: an immediate close would discard the answer.
             connection._lingering_time = LINGER_SECONDS
@@ -345,10 +387,13 @@
             log.debug("request refused", extra={"pairs": pairs})
             self.counters.count_answer(call.request_class, 503)
             return self._response(Answer(503), close=True)
+        if call.request_class in self.large_answer_classes and self.memory.is_exhausted:
+            return self._refuse_for_memory(request, connection)
         time_left_us = (
             self.deadlines_us[call.request_class] if call.time_left_us is None else call.time_left_us
         )
-        unread_us = 0 if call.body_stream else _unread_time_us(request)
+        # The caller's deadline counts from sending: a node that was stalled must not answer later for it.
+        unread_us = 0 if call.body_stream else int(seconds_since_last_byte(request.transport) * 1e6)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + (time_left_us - unread_us) / 1e6
         answer = await self.handle_inquiry(
@@ -388,12 +433,22 @@
         if self.is_closing:
             response.force_close()
         self.streaming_answers += 1
+        connection = request.protocol
+        assert isinstance(connection, _Connection)
+        self.large_answer_classes[call.request_class] = None
+        # The body of the request needs no memory any more.
+        connection.memory.release()
+        connection.memory.add(TRANSFER_BYTES)
+        if connection.memory.try_add_spare(READ_AHEAD_ANSWER_BYTES):
+            allow_read_ahead(rest.payload, READ_AHEAD_ANSWER_BYTES)
         is_complete = False
         progress = Progress(RECEIVER_GRACE_SECONDS)
-        deadline = AnswerDeadline(deadline_at, rest.length, len(answer.body))
+        deadline = AnswerDeadline(deadline_at, rest.length, len(rest.beginning))
         try:
             await response.prepare(request)
-            piece = answer.body or await deadline.wait_for(rest.read)
+            if request.transport is not None:
+                request.transport.set_write_buffer_limits(high=MAX_UNWRITTEN_BYTES)
+            piece = rest.take_beginning() or await deadline.wait_for(rest.read)
             while piece:
                 await progress.wait_for(response.write(piece), len(piece))
                 piece = await deadline.wait_for(rest.read)
@@ -414,11 +469,66 @@
             self.counters.count_answer(call.request_class, answer.status, is_complete)
         return response
 
+    def _refuse_for_memory(self, request: web.BaseRequest, connection: _Connection) -> web.Response:
+        """Reject a request for which no memory is left. Nothing was sent to a server."""
+        request_class = request_class_of(request.raw_path)
+        self.counters.memory_refusals += 1
+        self.counters.count_answer(request_class, 503)
+        if self.memory_throttle.should_log(asyncio.get_running_loop().time()):
+            pairs = {
+                "refused": self.counters.memory_refusals,
+                "reserved_kb": self.memory.reserved // 1024,
+                "limit_kb": (self.memory.limit or 0) // 1024,
+                "waiting": len(self.memory.waiting),
+            }
+            log.warning("memory for messages is used up", extra={"pairs": pairs})
+        if request.can_read_body:
+            # The caller may still be sending: an immediate close would discard the answer.
+            connection._lingering_time = LINGER_SECONDS
+        return self._response(rejection(self.memory_retry_after_us()), close=True)
+
+    async def _reserve_body_memory(self, request: web.BaseRequest, connection: _Connection) -> None:
+        """Wait until the request's body may be read. The connection is not read meanwhile.
+
+        Raises MemoryShortageError if that takes too long, InvalidRequestError if the request is malformed.
+        """
+        size = body_reservation(request.content_length, STREAMING_THRESHOLD)
+        if not size:
+            return
+        # Checked before the wait, which depends on the request's time.
+        call = parse_request(
+            request.method, request.raw_path, request.headers, request.raw_headers, b"", self.deadlines_us
+        )
+        time_left_us = (
+            self.deadlines_us[call.request_class] if call.time_left_us is None else call.time_left_us
+        )
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        arrival = BodyArrival(
+            request.content, request.transport, request.content_length, lambda: connection.last_read
+        )
+
+        def may_wait() -> bool:
+            if self.is_closing:
+                return False
+            arrived_at = arrival.arrived_at()
+            if arrived_at is None:
+                return loop.time() < started_at + MAX_MEMORY_WAIT
+            return loop.time() < arrived_at + MEMORY_WAIT_FRACTION * time_left_us / 1e6
+
+        if not await connection.memory.wait_for(size, ARRIVAL_CHECK_INTERVAL, may_wait):
+            raise MemoryShortageError
+        if request.transport is not None:
+            limit_read_size(request.transport)
+        if size == TRANSFER_BYTES and connection.memory.try_add_spare(READ_AHEAD_BODY_BYTES):
+            allow_read_ahead(request.content, READ_AHEAD_BODY_BYTES)
+
     async def _read_call(self, request: web.BaseRequest, connection: _Connection) -> CallerRequest:
         """Return the request with its body, or with the buffered start of a large one.
 
-        Raises BadCall if the request is malformed, too large or too slow. Its framing must be unambiguous, or
-        a server could see other requests than the node does.
+        Raises InvalidRequestError if the request is malformed, too large or too slow, MemoryShortageError if
+        no memory is left for it. Its framing must be unambiguous, or a server could see other requests than
+        the node does.
         """
         message, headers = request._message, request.headers
         if message.version not in (HttpVersion10, HttpVersion11) or message.upgrade:
@@ -433,15 +543,19 @@
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body, rest = bytearray(), None
         if request.can_read_body:
+            await self._reserve_body_memory(request, connection)
             progress = Progress()
             while piece := await read_piece(request.content, progress):
                 body += piece
                 connection.buffered_bytes += len(piece)
                 self.buffered_bytes += len(piece)
                 if len(body) > (
-                    MAX_BUFFERED_BODY if self.buffered_bytes <= MAX_BUFFERED_TOTAL else STREAMING_THRESHOLD
+                    MAX_BUFFERED_BODY
+                    if self.buffered_bytes <= self.max_buffered_bytes
+                    else STREAMING_THRESHOLD
                 ):
-                    rest = StreamedBody(request.content, len(body), progress)
+                    rest = StreamedBody(request.content, bytes(body), progress)
+                    body.clear()
                     break
         raw = request.raw_headers
         # Under the current settings: a request whose body was still being received when they changed was not
@@ -464,20 +578,6 @@
         return response
 
 
-def _unread_time_us(request: web.BaseRequest) -> int:
-    """Return how long the request's last byte was unread on this node, 0 where the system does not tell.
-
-    The caller's deadline counts from sending: a node that was stalled must not answer later by that time.
-    """
-    transport = request.transport
-    if transport is None or not hasattr(socket, "TCP_INFO"):
-        return 0
-    connection = transport.get_extra_info("socket")
-    # struct tcp_info: tcpi_last_data_recv, the milliseconds since data was last received, is at byte 52.
-    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
-    return int.from_bytes(info[52:56], sys.byteorder) * 1000
-
-
 def _is_idle(connection: RequestHandler) -> bool:
     """Return whether the connection waits for a request and has none that was read or partly answered.
 
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -238,7 +238,6 @@
                 not_idempotent=call.request_class in self.not_idempotent_classes,
                 may_start=may_start,
             )
-        first_piece = call.encode_attempt(min(choice.timeout_us, wait_us))
         balancer.body_stream_started(inquiry.id)
         timeout.reschedule(None)
 
@@ -259,7 +258,7 @@
         try:
             return await self.servers.attempt(
                 choice.server,
-                first_piece,
+                lambda: call.encode_attempt(min(choice.timeout_us, wait_us)),
                 min(choice.timeout_us, wait_us),
                 request=call,
                 on_body_sent=handle_body_sent,
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -17,11 +17,14 @@
 from coraldeal.balance import Balancer
 from coraldeal.config import NodeConfig, SettingsError, find_missing_key
 from coraldeal.interface import Condition, Effect, Entry, ListKind, ServerId, Settings
+from coraldeal.memory import BUFFERED_BODY_COPIES, MemoryBudget, message_budget
+from coraldeal.net.bodies import MAX_BUFFERED_TOTAL
 from coraldeal.net.callers import MAX_ACCEPTS_PER_TURN, Callers
 from coraldeal.net.counters import Counters
 from coraldeal.net.discovery import Discovery
 from coraldeal.net.host import LoopHost, clock
 from coraldeal.net.inquiry import Inquiries
+from coraldeal.net.memory import resident_bytes
 from coraldeal.net.servers import ServerPool
 from coraldeal.net.wire import ServerList, parse_server_list
 from coraldeal.starts import Starts
@@ -50,6 +53,11 @@
 # without a watch, so this delay must not use up the grace period of a drain.
 MIN_REWATCH_DELAY, MAX_REWATCH_DELAY = 0.1, 0.4
 
+# The fraction of the memory of messages that bodies buffered for further attempts may take.
+BUFFERED_FRACTION = 1 / 16
+# The longest Retry-After, in microseconds, of a request that is rejected because memory is short.
+MEMORY_RETRY_AFTER_US = 1_000_000
+
 # The number of servers that a log line names.
 MAX_SERVERS_NAMED = 8
 
@@ -117,10 +125,20 @@
         deadlines = {
             request_class.name: request_class.deadline_us for request_class in settings.request_classes
         }
-        handle_inquiry = self.inquiries.handle_inquiry
+        self.memory = MemoryBudget()
+        # What the process held before its first request, in bytes.
+        self.process_bytes = resident_bytes()
         self.callers = Callers(
-            deadlines, handle_inquiry, self._is_ready, self._is_crowded, self._make_room, self.counters
+            deadlines,
+            self.inquiries.handle_inquiry,
+            self._is_ready,
+            self._is_crowded,
+            self._make_room,
+            self.counters,
+            self.memory,
+            self._memory_retry_after_us,
         )
+        self._set_memory_limit()
         # An accepted connection holds its descriptor for four loop iterations before the idle one that makes
         # room for it is closed: with this limit, a burst uses up a sixth of the reserve.
         self.callers.accepts_per_turn = max(1, min(MAX_ACCEPTS_PER_TURN, self.reserve // 24))
@@ -190,6 +208,8 @@
         self._check_lag(loop.time())
         # The objects created so far live as long as the process: exclude them from garbage collections.
         gc.freeze()
+        self.process_bytes = resident_bytes()
+        self._set_memory_limit()
         self._enter(Phase.READY)
         if self.handover is not None:
             self.handover.link.start_serving()
@@ -234,6 +254,7 @@
         new = replace(new, settings=settings)
         self.config = replace(new, **{key: getattr(old, key) for key in RESTART_KEYS})
         self._set_descriptor_limit(new.sockets)
+        self._set_memory_limit()
         if new.settings != old.settings:
             # Open inquiries keep the settings that they arrived under.
             self.balancer.settings_changed(new.settings)
@@ -318,6 +339,11 @@
         scheduled_at = loop.time() + LAG_CHECK_INTERVAL
         loop.call_at(scheduled_at, self._check_lag, scheduled_at)
 
+    def _random(self, purpose: str) -> float:
+        """Return a number from 0 up to 1 that follows from the seed, the purpose and the number of draws."""
+        self.random_draws += 1
+        return crc32(f"{self.config.seed} {purpose} {self.random_draws}".encode()) / 2**32
+
     def _may_send(self, server: ServerId) -> bool:
         return self.balancer.may_send(server)
 
@@ -327,6 +353,7 @@
         """Limit this process to a fraction of the node's limits, while two processes serve as this node."""
         self.share = share
         self._set_descriptor_limit(self.config.sockets)
+        self._set_memory_limit()
         self.balancer.set_share(share)
 
     def _set_descriptor_limit(self, sockets: int) -> None:
@@ -346,6 +373,28 @@
         ):
             excess -= 1
 
+    # Memory.
+
+    def _set_memory_limit(self) -> None:
+        """Limit the memory of messages in transit to what the configuration and this process leave."""
+        memory_bytes = self.config.memory_bytes
+        if memory_bytes is None:
+            self.memory.set_limit(None)
+            self.callers.max_buffered_bytes = MAX_BUFFERED_TOTAL
+            return
+        descriptors = int(self.config.sockets * self.share)
+        budget = message_budget(int(memory_bytes * self.share), self.process_bytes, descriptors)
+        self.callers.max_buffered_bytes = min(MAX_BUFFERED_TOTAL, int(budget * BUFFERED_FRACTION))
+        self.memory.set_limit(budget - BUFFERED_BODY_COPIES * self.callers.max_buffered_bytes)
+
+    def _memory_retry_after_us(self) -> int:
+        """Return the Retry-After of a request rejected for memory, spread by chance; 0: none is allowed."""
+        settings = self.config.settings
+        if not settings.may_send_retry_after:
+            return 0
+        longest_us = min(MEMORY_RETRY_AFTER_US, settings.max_retry_after_us)
+        return int(longest_us * (0.5 + 0.5 * self._random("memory")))
+
     # The server list.
 
     def apply_list(self, update: ServerList, kind: ListKind | None = None) -> None:
@@ -381,11 +430,9 @@
             self.balancer.list_failed()
             return
         # The decisions don't request a pushed list, so the watch is renewed here.
-        self.random_draws += 1
-        random_fraction = crc32(f"{self.config.seed} watch {self.random_draws}".encode()) / 2**32
         if self.rewatch_timer is not None:
             # Schedule one retry at a time, however many failures there were.
             self.rewatch_timer.cancel()
-        wait = self.rewatch_delay * (0.5 + random_fraction)
+        wait = self.rewatch_delay * (0.5 + self._random("watch"))
         self.rewatch_timer = asyncio.get_running_loop().call_later(wait, self.discovery.follow)
         self.rewatch_delay = min(2 * self.rewatch_delay, MAX_REWATCH_DELAY)
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -22,6 +22,8 @@
 from coraldeal.logs import LogThrottle
 from coraldeal.net.bodies import (
     MAX_BODY_BYTES,
+    MAX_READ_BYTES,
+    MAX_WAITING_BYTES,
     RECEIVER_GRACE_SECONDS,
     Progress,
     StreamedBody,
@@ -76,7 +78,7 @@
 HEAD_END = b"\r\n\r\n"
 
 
-# Status, headers, raw headers, the part of the body read so far, and the stream of its remainder.
+# Status, headers, raw headers, and the body: whole, or as a stream.
 RawAnswer = tuple[int, Mapping[str, str], RawHeaders, bytes, "AnswerStream | None"]
 
 
@@ -199,11 +201,15 @@
 
 
 class AnswerStream:
-    """The remainder of an answer that is streamed to its caller; its receiver must close it."""
+    """An answer's body that is streamed to its caller; its receiver must close it."""
 
-    __slots__ = ("connection", "length", "payload", "servers")
+    __slots__ = ("beginning", "connection", "length", "payload", "servers")
 
-    def __init__(self, servers: ServerPool, connection: Connection, payload: Any, length: int | None) -> None:
+    def __init__(
+        self, servers: ServerPool, connection: Connection, beginning: bytes, payload: Any, length: int | None
+    ) -> None:
+        # What was read of the body before it was streamed.
+        self.beginning = beginning
         self.servers = servers
         self.connection = connection
         self.payload = payload
@@ -213,13 +219,18 @@
         if not payload.is_eof() and not connection._reading_paused:
             connection.start_timeout()
 
+    def take_beginning(self) -> bytes:
+        """Return what was read of the body before it was streamed, and hold it no longer."""
+        beginning, self.beginning = self.beginning, b""
+        return beginning
+
     async def read(self) -> bytes:
-        """Return the next piece, empty at the end.
+        """Return the next piece behind the beginning, empty at the end.
 
         Raises MalformedAnswerError if the server breaks off or stalls for STREAM_STALL_TIMEOUT.
         """
         try:
-            piece: bytes = await self.payload.readany()
+            piece: bytes = await self.payload.read(MAX_READ_BYTES)
             return piece
         except (OSError, aiohttp.ClientError, aiohttp.http.HttpProcessingError) as error:
             raise MalformedAnswerError(f"broken off: {error}") from None
@@ -443,11 +454,15 @@
                     auto_decompress=False,
                     read_until_eof=True,
                     read_timeout=ANSWER_STALL_TIMEOUT,
-                    read_bufsize=STREAMING_THRESHOLD,
+                    # aiohttp holds twice this size.
+                    read_bufsize=MAX_WAITING_BYTES // 2,
                     skip_payload=text.startswith(b"HEAD "),
                 )
                 if not self._write(connection, text):
                     raise ConnectionError("closed before the first byte")
+                # What the system did not take is in the transport's buffer; a second copy would stay for as
+                # long as the attempt.
+                del text
                 is_fully_written = request is None
                 if request is not None:
                     timer.reschedule(None)
@@ -596,7 +611,7 @@
         self, connection: Connection, request: CallerRequest, body_stream: StreamedBody
     ) -> None:
         progress = Progress(RECEIVER_GRACE_SECONDS)
-        size = len(request.body)
+        size = len(body_stream.beginning)
         while True:
             # Read from the caller only after the server has taken the previous piece, for backpressure.
             try:
@@ -614,6 +629,8 @@
                 await progress.wait_for(connection._drain_helper(), size)
                 return
             size = len(piece)
+            # The transport has it; a second copy would stay until the server has taken it.
+            del piece
 
     def release(self, connection: Connection, has_answer: bool) -> None:
         """Return a connection to the pool if it is reusable, otherwise close it."""
@@ -660,7 +677,8 @@
             commit_at = commit_at or now + COMMIT_DELAY
             body += chunk
             if may_be_large and (len(body) > STREAMING_THRESHOLD or now >= commit_at):
-                return *head, bytes(body), AnswerStream(self, connection, payload, announced_length)
+                stream = AnswerStream(self, connection, bytes(body), payload, announced_length)
+                return *head, b"", stream
             if len(body) > STREAMING_THRESHOLD:
                 # The remainder of an error's body is not needed; the connection is closed.
                 break
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -82,18 +82,23 @@
     time_left_us: int | None
     is_retry: bool
     head: bytes
+    # The whole body, or nothing if it is streamed.
     body: bytes
-    # The unread remainder of a large body, and the length of the whole body if it is known.
+    # A large body, and its length in bytes if that is known.
     body_stream: StreamedBody | None = None
     length: int | None = None
 
     def encode_attempt(self, wait_us: int) -> bytes:
-        """Return the bytes of one attempt, with `wait_us` as the time that the node will wait."""
+        """Return the bytes of one attempt, with `wait_us` as the time that the node will wait.
+
+        Of a streamed body they hold the beginning.
+        """
+        body = self.body if self.body_stream is None else self.body_stream.beginning
         if self.body_stream is not None and self.length is None:
-            form = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(self.body), self.body)
+            form = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(body), body)
         else:
-            length = len(self.body) if self.length is None else self.length
-            form = b"Content-Length: %d\r\n\r\n%b" % (length, self.body)
+            length = len(body) if self.length is None else self.length
+            form = b"Content-Length: %d\r\n\r\n%b" % (length, body)
         return b"%bReq-Deadline: %du\r\n%b" % (self.head, max(1, wait_us), form)
 
     def encode_piece(self, piece: bytes) -> bytes:
@@ -110,7 +115,7 @@
     status: int
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
-    # The remainder of the body, if the answer is streamed.
+    # The body, if the answer is streamed.
     body_stream: AnswerStream | None = None
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -212,6 +212,7 @@
     pushed: bool = False,
     sockets: int = 1024,
     peers: Any = None,
+    memory_mb: float | None = None,
     **other_settings: Any,
 ) -> NodeConfig:
     """Return a node's configuration. Further keywords are settings, which replace those in SETTINGS."""
@@ -223,7 +224,8 @@
         "seed": "7",
         "settings": settings,
     }
-    return parse_node_config({**document, "limits": {"sockets": sockets}, "peers": peers}, {})
+    limits = {"sockets": sockets, "memory_mb": memory_mb}
+    return parse_node_config({**document, "limits": limits, "peers": peers}, {})
 
 
 class RunningNode:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -698,7 +698,7 @@
 
         server = await self.stand_in(answer_early)
         self.learn(server)
-        body = StreamedBody(FakeContent(b"01", ends=False), 0, Progress())  # type: ignore[arg-type]
+        body = StreamedBody(FakeContent(b"01", ends=False), b"", Progress())  # type: ignore[arg-type]
         call = CallerRequest("1", "read", None, None, False, GET[:-2], b"", body_stream=body, length=10)
 
         def cancel_first(*args: Any) -> Any:
@@ -725,7 +725,7 @@
 
         server = await self.stand_in(reset_after_body)
         self.learn(server)
-        body = StreamedBody(FakeContent(b"0123456789"), 0, Progress())  # type: ignore[arg-type]
+        body = StreamedBody(FakeContent(b"0123456789"), b"", Progress())  # type: ignore[arg-type]
         head = b"POST /read/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\n"
         call = CallerRequest("1", "read", None, None, False, head, b"", body_stream=body, length=10)
 
@@ -1087,7 +1087,7 @@
     def __init__(self, *pieces: bytes, ends: bool = True) -> None:
         self.pieces = [*pieces, b""] if ends else [*pieces]
 
-    async def readany(self) -> bytes:
+    async def read(self, size: int) -> bytes:
         """Return the next piece, empty at the end."""
         if not self.pieces:
             await asyncio.Event().wait()
