Large bodies: a request's time runs from the arrival of its last byte, read or not

Cause: all time limits were off until the body had been written to the server (Inquiries._attempt, ServerPool.attempt), and the node reads from the caller only as fast as the server takes, so it never saw that the caller had sent all. answer_all_by passed over inquiries whose limit was off.

Change: the system is asked whether the last byte has arrived (net/arrival.py). From then on the time runs. A body not forwarded by nine tenths of it is given up: the attempt is aborted before its last byte, which proves that it never ran, and the request rejected with Retry-After. Times behind the forwarding count from the arrival, too; the node's end bounds such requests. It works since the limit depends on the caller's bytes alone and not on what the server takes; a caller that still sends is not cut off.

Rejected: a limit on the server's progress (a slow server that moves on keeps the caller past its time), and the time since the last byte alone (it cuts off callers that the node itself holds back).

--- a/coraldeal/net/bodies.py
+++ b/coraldeal/net/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -12,6 +13,7 @@
 from aiohttp.http import HttpProcessingError
 from aiohttp.streams import StreamReader
 
+from coraldeal.net.arrival import BodyArrival
 from coraldeal.net.wire import STREAMING_THRESHOLD, InvalidRequestError
 
 # A sender or receiver may pause for this many seconds, and must transfer this many bytes a second beyond
@@ -47,6 +49,12 @@
 # How many bytes of an answer wait to be written before its receiver counts as slower than its server.
 MAX_UNWRITTEN_BYTES = 16 * 1024
 
+# The fraction of a request's time, counted from the arrival of its last byte, by which its body has to be
+# forwarded: the caller gets its answer while it still waits.
+FORWARDING_FRACTION = 0.9
+# Seconds before the node's last answer by which a body has to be forwarded.
+FORWARDING_END_MARGIN = 0.1
+
 T = TypeVar("T")
 
 
@@ -145,11 +153,29 @@
 class StreamedBody:
     """A caller's body that is streamed to the server: its buffered beginning, and the rest."""
 
-    __slots__ = ("beginning", "bytes_read", "caller_error", "content", "is_sent", "is_started", "progress")
-
-    def __init__(self, content: StreamReader, beginning: bytes, progress: Progress) -> None:
+    __slots__ = (
+        "answer_at_latest",
+        "arrival",
+        "beginning",
+        "bytes_read",
+        "caller_error",
+        "content",
+        "is_sent",
+        "is_started",
+        "progress",
+        "time_left",
+    )
+
+    def __init__(
+        self, content: StreamReader, beginning: bytes, progress: Progress, arrival: BodyArrival
+    ) -> None:
         self.content = content
         self.progress = progress
+        self.arrival = arrival
+        # How many seconds after its last byte arrived the request has to be answered, and by when, in seconds
+        # of the event loop's clock, in any case.
+        self.time_left = math.inf
+        self.answer_at_latest = math.inf
         # Kept for further attempts until some of the rest was read.
         self.beginning = beginning
         self.bytes_read = len(beginning)
@@ -160,6 +186,20 @@
         # Why the body ended early, if the caller caused that.
         self.caller_error: InvalidRequestError | None = None
 
+    def answer_by(self) -> float:
+        """Return by when the request has to be answered, in seconds of the event loop's clock.
+
+        Infinite as long as its last byte has not arrived, unless the node ends.
+        """
+        arrived_at = self.arrival.arrived_at()
+        return min(self.answer_at_latest, math.inf if arrived_at is None else arrived_at + self.time_left)
+
+    def forward_by(self) -> float:
+        """Return by when the body has to be forwarded, by the same clock, or is given up."""
+        arrived_at = self.arrival.arrived_at()
+        by_arrival = math.inf if arrived_at is None else arrived_at + FORWARDING_FRACTION * self.time_left
+        return min(self.answer_at_latest - FORWARDING_END_MARGIN, by_arrival)
+
     async def read(self) -> bytes:
         """Return the next piece, empty at the end.
 
--- a/coraldeal/net/callers.py
+++ b/coraldeal/net/callers.py
@@ -393,15 +393,21 @@
             self.deadlines_us[call.request_class] if call.time_left_us is None else call.time_left_us
         )
         # The caller's deadline counts from sending: a node that was stalled must not answer later for it.
-        unread_us = 0 if call.body_stream else int(seconds_since_last_byte(request.transport) * 1e6)
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + (time_left_us - unread_us) / 1e6
+        arrived_at = (
+            loop.time() - seconds_since_last_byte(request.transport)
+            if call.body_stream is None
+            else call.body_stream.arrival.arrived_at() or loop.time()
+        )
+        unread_us = int((loop.time() - arrived_at) * 1e6)
+        deadline = arrived_at + time_left_us / 1e6
         answer = await self.handle_inquiry(
             call, time_left_us, unread_us, lambda: not has_disconnected(request.transport)
         )
         if answer.body_stream is not None:
-            # For a streamed body the time starts at its last byte, which was sent after `deadline` was set.
-            deadline = deadline if call.body_stream is None else loop.time() + time_left_us / 1e6
+            if call.body_stream is not None:
+                # The time starts at the last byte, which may have arrived after `deadline` was set.
+                deadline = min(call.body_stream.answer_by(), loop.time() + time_left_us / 1e6)
             return await self._stream_answer(request, call, answer, answer.body_stream, deadline)
         self.counters.count_answer(call.request_class, answer.status)
         # Pipelined requests of a client that has disconnected are dropped: each would cost a connection to a
@@ -487,7 +493,9 @@
             connection._lingering_time = LINGER_SECONDS
         return self._response(rejection(self.memory_retry_after_us()), close=True)
 
-    async def _reserve_body_memory(self, request: web.BaseRequest, connection: _Connection) -> None:
+    async def _reserve_body_memory(
+        self, request: web.BaseRequest, connection: _Connection, arrival: BodyArrival
+    ) -> None:
         """Wait until the request's body may be read. The connection is not read meanwhile.
 
         Raises MemoryShortageError if that takes too long, InvalidRequestError if the request is malformed.
@@ -504,9 +512,6 @@
         )
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        arrival = BodyArrival(
-            request.content, request.transport, request.content_length, lambda: connection.last_read
-        )
 
         def may_wait() -> bool:
             if self.is_closing or has_disconnected(request.transport):
@@ -540,11 +545,15 @@
             raise InvalidRequestError(400, "Transfer-Encoding is not chunked")
         if (request.content_length or 0) > MAX_BODY_BYTES:
             raise InvalidRequestError(413, f"the body is longer than {MAX_BODY_BYTES} bytes")
+        body, rest = bytearray(), None
+        arrival = BodyArrival(
+            request.content, request.transport, request.content_length, lambda: connection.last_read
+        )
+        if request.can_read_body:
+            await self._reserve_body_memory(request, connection, arrival)
         if headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        body, rest = bytearray(), None
         if request.can_read_body:
-            await self._reserve_body_memory(request, connection)
             progress = Progress()
             while piece := await read_piece(request.content, progress):
                 body += piece
@@ -555,7 +564,7 @@
                     if self.buffered_bytes <= self.max_buffered_bytes
                     else STREAMING_THRESHOLD
                 ):
-                    rest = StreamedBody(request.content, bytes(body), progress)
+                    rest = StreamedBody(request.content, bytes(body), progress, arrival)
                     body.clear()
                     break
         raw = request.raw_headers
--- a/coraldeal/net/inquiry.py
+++ b/coraldeal/net/inquiry.py
@@ -10,6 +10,7 @@
 
 from coraldeal.balance import Balancer
 from coraldeal.interface import InquiryId, Outcome, ServerId
+from coraldeal.net.bodies import StreamedBody
 from coraldeal.net.servers import ServerPool
 from coraldeal.net.wire import Answer, AttemptEnd, CallerRequest, failure
 
@@ -31,6 +32,7 @@
         "attempt_number",
         "attempt_started",
         "attempt_task",
+        "body_stream",
         "cancel_requested",
         "choice",
         "client_left",
@@ -48,8 +50,11 @@
         request_id: str,
         is_connected: Callable[[], bool],
         loop: asyncio.AbstractEventLoop,
+        body_stream: StreamedBody | None = None,
     ) -> None:
         self.id = inquiry_id
+        # The request's body, if it is forwarded as it arrives.
+        self.body_stream = body_stream
         self.request_id = request_id
         # Asks the system whether the client is still connected; `client_left`: it was seen to disconnect.
         self.is_connected = is_connected
@@ -81,6 +86,10 @@
         elif attempt == self.attempt_number:
             self.attempt_task.get_loop().call_soon(self.attempt_task.cancel)
 
+    def may_have_run(self) -> bool:
+        """Return whether a server may have started on the current attempt: it has the last byte."""
+        return self.attempt_started and (self.body_stream is None or self.body_stream.is_sent)
+
     def start_attempt(self) -> bool:
         """Return whether the attempt may write its first byte; it counts as started then.
 
@@ -117,8 +126,10 @@
         self.answer_by_us = answer_by_us
         answer_by = self.servers.loop.time() + (answer_by_us - self.servers.clock()) / 1e6
         for inquiry in self.in_progress.values():
+            if inquiry.body_stream is not None:
+                inquiry.body_stream.answer_at_latest = answer_by
             expires_at = None if inquiry.timeout is None else inquiry.timeout.when()
-            # While a body is being received the timeout has no time yet; an expired one can't be moved.
+            # While a body is being forwarded the timeout has no time yet; an expired one can't be moved.
             if (
                 inquiry.timeout is not None
                 and expires_at is not None
@@ -145,14 +156,19 @@
         loop = asyncio.get_running_loop()
         inquiry_id = self.next_id
         self.next_id += 1
-        inquiry = self.in_progress[inquiry_id] = Inquiry(inquiry_id, call.request_id, is_connected, loop)
+        inquiry = Inquiry(inquiry_id, call.request_id, is_connected, loop, call.body_stream)
+        self.in_progress[inquiry_id] = inquiry
         self.open_ids.add(call.request_id)
         try:
             # The balancer answers before the deadline. The timeout guards against a balancer that does not,
             # or that does so too late since much of the time passed unread, and against the node's end.
             wait_us = time_left_us - unread_us
+            if call.body_stream is not None:
+                call.body_stream.time_left = time_left_us / 1e6
             if self.answer_by_us is not None:
                 wait_us = min(wait_us, self.answer_by_us - self.servers.clock())
+                if call.body_stream is not None:
+                    call.body_stream.answer_at_latest = loop.time() + wait_us / 1e6
             inquiry.deadline_us = self.servers.clock() + wait_us
             async with asyncio.timeout(wait_us / 1e6) as timeout:
                 inquiry.timeout = timeout
@@ -183,8 +199,8 @@
                             # The caller's error says nothing about the server.
                             self._report_attempt_end(inquiry, end, is_final=True)
                             return Answer(call.body_stream.caller_error.status)
-                        if call.body_stream.is_started:
-                            # No further attempt can send the complete body.
+                        if call.body_stream.is_started or call.body_stream.forward_by() <= loop.time():
+                            # No further attempt can send the complete body, or not in time.
                             balancer.body_not_replayable(inquiry_id)
                     if inquiry.client_left:
                         # Detected when the attempt was about to start; nobody receives this answer.
@@ -217,7 +233,7 @@
     async def _attempt(
         self, inquiry: Inquiry, call: CallerRequest, choice: Send, wait_us: int, timeout: asyncio.Timeout
     ) -> AttemptEnd:
-        """Run one attempt. If its body is streamed, timeouts start at the last byte of the body."""
+        """Run one attempt. If its body is streamed, its time runs from the arrival of the last byte."""
         balancer = self.balancer
         assert balancer is not None
 
@@ -238,18 +254,18 @@
                 not_idempotent=call.request_class in self.not_idempotent_classes,
                 may_start=may_start,
             )
+        body_stream, loop = call.body_stream, self.servers.loop
         balancer.body_stream_started(inquiry.id)
         timeout.reschedule(None)
 
+        def encode_beginning() -> bytes:
+            left_us = min(wait_us / 1e6, body_stream.answer_by() - loop.time()) * 1e6
+            return call.encode_attempt(min(choice.timeout_us, int(left_us)))
+
         def restart_timeout() -> None:
-            time_left_us = (
-                wait_us
-                if self.answer_by_us is None
-                else min(wait_us, self.answer_by_us - self.servers.clock())
-            )
             # The inquiry may be finished while its attempt is still running.
             with contextlib.suppress(RuntimeError):
-                timeout.reschedule(self.servers.loop.time() + time_left_us / 1e6)
+                timeout.reschedule(min(loop.time() + wait_us / 1e6, body_stream.answer_by()))
 
         def handle_body_sent() -> None:
             restart_timeout()
@@ -258,7 +274,7 @@
         try:
             return await self.servers.attempt(
                 choice.server,
-                lambda: call.encode_attempt(min(choice.timeout_us, wait_us)),
+                encode_beginning,
                 min(choice.timeout_us, wait_us),
                 request=call,
                 on_body_sent=handle_body_sent,
@@ -290,8 +306,8 @@
         self.balancer.client_disconnected(inquiry.id)
         choice = inquiry.choice
         if inquiry.attempt_task is not None:
-            if not inquiry.attempt_started:
-                # Nothing was written, so the attempt is stopped even if the settings do not allow cancelling.
+            if not inquiry.may_have_run():
+                # No server has all of it, so the attempt is stopped even if the settings forbid cancelling.
                 inquiry.attempt_task.cancel()
             inquiry.attempt_task.add_done_callback(lambda task: self._late_attempt_ended(inquiry, task))
         elif choice.done() and not choice.cancelled() and isinstance(choice.result(), Send):
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -20,6 +20,7 @@
 
 from coraldeal.interface import Condition, Outcome, ServerId
 from coraldeal.logs import LogThrottle
+from coraldeal.net.arrival import ARRIVAL_CHECK_INTERVAL
 from coraldeal.net.bodies import (
     MAX_BODY_BYTES,
     MAX_READ_BYTES,
@@ -426,10 +427,11 @@
 
         `message`: the request's bytes, or a function that builds them when they are written, so that they
         state the time left at that moment. `timeout_us`: the time limit in microseconds, from the start; with
-        a `request`, it starts again at the last byte of its body. `request`: a request whose body is still
-        arriving. `on_body_sent`: called once that body has been written. `not_idempotent`: the request must
-        not run twice, so a connection that the server may be closing is not reused. `may_start`: called right
-        before the first byte is written, as the last check that the attempt is still wanted.
+        a `request`, it starts again once its body has been written. `request`: a request whose body is still
+        arriving; the body itself limits the time to forward it. `on_body_sent`: called once that body is
+        written. `not_idempotent`: the request must not run twice, so a connection that the server may be
+        closing is not reused. `may_start`: called right before the first byte is written, as the last check
+        that the attempt is still wanted.
         """
         started = self.clock()
         endpoint = self.endpoints.get(server)
@@ -464,12 +466,14 @@
                 # long as the attempt.
                 del text
                 is_fully_written = request is None
-                if request is not None:
+                if request is not None and request.body_stream is not None:
                     timer.reschedule(None)
                     reading = self.loop.create_task(self._read_answer(connection))
                     is_fully_written = await self._forward_body(connection, request, reading)
                     started = self.clock()
-                    timer.reschedule(self.loop.time() + timeout_us / 1e6)
+                    timer.reschedule(
+                        min(self.loop.time() + timeout_us / 1e6, request.body_stream.answer_by())
+                    )
                     if is_fully_written and on_body_sent is not None:
                         on_body_sent()
                 if is_fully_written and not is_probe:
@@ -480,7 +484,7 @@
         except (MalformedAnswerError, aiohttp.SocketTimeoutError, aiohttp.http.HttpProcessingError):
             outcome = Outcome.MALFORMED
         except TimeoutError:
-            if is_fully_written and not _has_unwritten(connection):
+            if (is_fully_written or _is_body_sent(request)) and not _has_unwritten(connection):
                 outcome = Outcome.TIMEOUT
         except LocalConnectError:
             # The failure says nothing about the server, and nothing was written.
@@ -491,10 +495,7 @@
         except (OSError, aiohttp.ClientError):
             # The attempt is proved not run only if its last byte was not written. The last byte of a streamed
             # body may have been written before the task that forwards the body has ended.
-            is_sent = is_fully_written or (
-                request is not None and request.body_stream is not None and request.body_stream.is_sent
-            )
-            if is_sent and not _has_unwritten(connection):
+            if (is_fully_written or _is_body_sent(request)) and not _has_unwritten(connection):
                 outcome = Outcome.RESET
                 if connection is not None and connection.idle_time and not connection.head_seen:
                     # The request most likely crossed the server's close of the idle connection.
@@ -588,11 +589,15 @@
     async def _forward_body(
         self, connection: Connection, request: CallerRequest, reading: asyncio.Task[RawAnswer]
     ) -> bool:
-        """Forward a streamed body; return False if an answer or a close arrived before the body's end."""
+        """Forward a streamed body; return False if an answer or a close arrived before the body's end.
+
+        Raises TimeoutError if it is not forwarded in time. The time runs from the arrival of the caller's
+        last byte, which may be unread on this machine because the server does not take what precedes it.
+        """
         assert request.body_stream is not None
         forwarding = self.loop.create_task(self._write_pieces(connection, request, request.body_stream))
         try:
-            await asyncio.wait((reading, forwarding), return_when=asyncio.FIRST_COMPLETED)
+            await self._wait_for_first(reading, forwarding, request.body_stream)
             if not forwarding.done():
                 return False
             if isinstance(forwarding.exception(), OSError):
@@ -607,6 +612,20 @@
             # The task must have ended before the attempt continues, and its exception must be retrieved.
             await asyncio.gather(forwarding, return_exceptions=True)
 
+    async def _wait_for_first(
+        self,
+        reading: asyncio.Task[RawAnswer],
+        forwarding: asyncio.Task[None],
+        body_stream: StreamedBody,
+    ) -> None:
+        """Wait until a body is forwarded or its answer arrives; raises TimeoutError if neither is in time."""
+        while not (reading.done() or forwarding.done()):
+            time_left = body_stream.forward_by() - self.loop.time()
+            if time_left <= 0:
+                raise TimeoutError("the server did not take the body in the caller's time")
+            interval = min(time_left, ARRIVAL_CHECK_INTERVAL)
+            await asyncio.wait((reading, forwarding), timeout=interval, return_when=asyncio.FIRST_COMPLETED)
+
     async def _write_pieces(
         self, connection: Connection, request: CallerRequest, body_stream: StreamedBody
     ) -> None:
@@ -691,6 +710,11 @@
         task.exception()
 
 
+def _is_body_sent(request: CallerRequest | None) -> bool:
+    """Return whether the last byte of a streamed body was passed to the server's connection."""
+    return request is not None and request.body_stream is not None and request.body_stream.is_sent
+
+
 def _has_unwritten(connection: Connection | None) -> bool:
     """Return whether bytes of the request are still in the buffer, not written to the socket."""
     return connection is not None and connection.writing_paused
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -698,7 +698,7 @@
 
         server = await self.stand_in(answer_early)
         self.learn(server)
-        body = StreamedBody(FakeContent(b"01", ends=False), b"", Progress())  # type: ignore[arg-type]
+        body = StreamedBody(FakeContent(b"01", ends=False), b"", Progress(), FakeArrival())  # type: ignore[arg-type]
         call = CallerRequest("1", "read", None, None, False, GET[:-2], b"", body_stream=body, length=10)
 
         def cancel_first(*args: Any) -> Any:
@@ -725,7 +725,7 @@
 
         server = await self.stand_in(reset_after_body)
         self.learn(server)
-        body = StreamedBody(FakeContent(b"0123456789"), b"", Progress())  # type: ignore[arg-type]
+        body = StreamedBody(FakeContent(b"0123456789"), b"", Progress(), FakeArrival())  # type: ignore[arg-type]
         head = b"POST /read/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\n"
         call = CallerRequest("1", "read", None, None, False, head, b"", body_stream=body, length=10)
 
@@ -1081,6 +1081,14 @@
                 self.assertNotIn("Too many open files", errors)
 
 
+class FakeArrival:
+    """The arrival of a body whose last byte has not come."""
+
+    def arrived_at(self) -> None:
+        """Return no time."""
+        return None
+
+
 class FakeContent:
     """The content of a request's body: some pieces, and then its end; if not `ends`, it stalls instead."""
 
