Arrival: the end of a chunked body is seen though as much is unread as at an earlier check

Found on reading the change again; no caller reported it. Cause: the check of a chunked body's last bytes was kept by the number of unread bytes alone. Change: the check holds only while what was read is the same, too.

--- a/coraldeal/net/arrival.py
+++ b/coraldeal/net/arrival.py
@@ -24,7 +24,7 @@
 
     __slots__ = (
         "_arrived_at",
-        "_unread_at_check",
+        "_state_at_check",
         "_was_complete",
         "content",
         "last_read",
@@ -46,8 +46,9 @@
         # Returns the last four bytes that were read from the connection.
         self.last_read = last_read
         self._arrived_at: float | None = None
-        # Of a chunked body: how much was unread at the last check, and its result, which holds as long.
-        self._unread_at_check = -1
+        # Of a chunked body: what had been read and what was unread at the last check, and its result, which
+        # holds while neither changes.
+        self._state_at_check: tuple[int, int, bytes] | None = None
         self._was_complete = False
 
     def arrived_at(self) -> float | None:
@@ -71,8 +72,9 @@
         if seconds_since_last_byte(self.transport) < ARRIVAL_CHECK_INTERVAL:
             # More may be under way, and to look at the end of a long queue costs time.
             return False
-        if unread != self._unread_at_check:
+        state = (unread, self.content.total_bytes, self.last_read())
+        if state != self._state_at_check:
             last = last_unread_bytes(self.transport, len(CHUNKED_BODY_END))
             self._was_complete = (self.last_read() + last)[-len(CHUNKED_BODY_END) :] == CHUNKED_BODY_END
-            self._unread_at_check = unread
+            self._state_at_check = state
         return self._was_complete
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -17,6 +17,7 @@
 from unittest import mock
 
 from coraldeal.memory import TRANSFER_BYTES
+from coraldeal.net.arrival import BodyArrival
 from coraldeal.net.host import clock
 from coraldeal.net.unread import last_unread_bytes, unread_bytes
 from coraldeal.net.wire import STREAMING_THRESHOLD
@@ -210,6 +211,19 @@
         self.assertEqual(running.node.balancer.attempts, {})
 
 
+class ChunkedArrivalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_end_that_is_read_after_a_check_is_seen_with_as_little_unread_as_before(self) -> None:
+        # Guards against a request without an answer: its end is read, but a paused parser holds it back.
+        last_read = [b"data"]
+        content = mock.Mock(total_bytes=1000)
+        content.is_eof.return_value = False
+        arrival = BodyArrival(content, None, None, lambda: last_read[0])
+        with mock.patch("coraldeal.net.arrival.seconds_since_last_byte", return_value=0.2):
+            self.assertIsNone(arrival.arrived_at())
+            last_read[0] = b"\r\n\r\n"
+            self.assertIsNotNone(arrival.arrived_at())
+
+
 class UnreadTest(unittest.IsolatedAsyncioTestCase):
     async def test_last_bytes_of_a_receive_queue_are_seen_and_stay_there(self) -> None:
         server, client = socket.socketpair()
