Review, case 9: a restarted node sends to draining servers while discovery is slow

Cause: the remembered list is used as if it were current until the first call is answered, also behind the grace.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -184,6 +184,10 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.watches: set[asyncio.Queue[bytes]] = set()
+        # Watches that write nothing any more, though their connections stay open.
+        self.silent: set[asyncio.Queue[bytes]] = set()
+        # How long each call waits for its answer.
+        self.answer_seconds = 0.0
         self.listening: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -203,6 +207,13 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence(self) -> int:
+        """Have all open watches fall silent, and return how many; new ones are served."""
+        count = len(self.watches)
+        self.silent |= self.watches
+        self.watches.clear()
+        return count
+
     def whole(self) -> dict[str, Any]:
         """Return the whole list."""
         return {"generation": self.generation, "reset": True, "instances": list(self.entries.values())}
@@ -227,6 +238,7 @@
             while True:
                 request = await read_message(reader)
                 self.record("list call", line=request.line)
+                await asyncio.sleep(self.answer_seconds)
                 if "watch=1" not in request.line:
                     writer.write(answer(200, json.dumps(self.whole()).encode()))
                     continue
@@ -245,10 +257,12 @@
                             text = await asyncio.wait_for(queue.get(), 2.0)
                         except TimeoutError:
                             text = b"\n"
-                        writer.write(b"%x\r\n%b\r\n" % (len(text), text))
-                        await writer.drain()
+                        if queue not in self.silent:
+                            writer.write(b"%x\r\n%b\r\n" % (len(text), text))
+                            await writer.drain()
                 finally:
                     self.watches.discard(queue)
+                    self.silent.discard(queue)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
@@ -500,6 +514,13 @@
             print(f"... {len(breaks)} in all")
         return BROKEN if breaks else HELD
 
-    result = asyncio.run(main())
-    sys.stdout.flush()
+    result = COULD_NOT_RUN
+    try:
+        result = asyncio.run(main())
+        sys.stdout.flush()
+    except BaseException as error:
+        # Only a broken rule is told by BROKEN.
+        result = COULD_NOT_RUN
+        with contextlib.suppress(Exception):
+            print(f"could not run: {error!r}", file=sys.stderr)
     os._exit(result)
