Servers: connections with bytes that no request asked for are counted and logged

Change: figure surplus_closes at the admin listener, log line 'server sent bytes that no request asked for'.

--- a/coraldeal/net/admin_interface.py
+++ b/coraldeal/net/admin_interface.py
@@ -50,6 +50,7 @@
             **list_calls,
             **({"accept_shortages": shortages} if shortages else {}),
             **({"memory_refusals": counts.memory_refusals} if counts.memory_refusals else {}),
+            **({"surplus_closes": counts.surplus_closes} if counts.surplus_closes else {}),
             "passed": counts.served,
             "dropped": counts.rejected,
             "bad_gateway": counts.failed,
--- a/coraldeal/net/counters.py
+++ b/coraldeal/net/counters.py
@@ -8,7 +8,16 @@
 class Counters:
     """Final answers by request class, attempts that were sent completely, and configuration reloads."""
 
-    __slots__ = ("attempts", "failed", "memory_refusals", "rejected", "reload_errors", "reloads", "served")
+    __slots__ = (
+        "attempts",
+        "failed",
+        "memory_refusals",
+        "rejected",
+        "reload_errors",
+        "reloads",
+        "served",
+        "surplus_closes",
+    )
 
     def __init__(self, request_classes: Iterable[str]) -> None:
         self.served: dict[str, int] = {}
@@ -20,6 +29,8 @@
         self.reload_errors = 0
         # Requests rejected because no memory was left for them; they are counted as rejected, too.
         self.memory_refusals = 0
+        # Connections to servers that are not used again because bytes arrived that no request asked for.
+        self.surplus_closes = 0
         self.add_request_classes(request_classes)
 
     def add_request_classes(self, names: Iterable[str]) -> None:
--- a/coraldeal/net/server_connection.py
+++ b/coraldeal/net/server_connection.py
@@ -127,9 +127,15 @@
                 self.body_left -= len(piece)
             self.is_complete = self.body_left == 0
         if data:
+            self._handle_surplus(len(data))
+
+    def _handle_surplus(self, size: int) -> None:
+        """Rule out another use of the connection: its server sent bytes that no request asked for."""
+        if not self.has_surplus:
             self.has_surplus = True
-            if self.idle_since:
-                self.drop()
+            self.servers.record_surplus(self, size)
+        if self.idle_since:
+            self.drop()
 
 
 class Endpoint:
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -37,7 +37,7 @@
 from coraldeal.net.counters import Counters
 from coraldeal.net.listening import SHORTAGE_ERRNOS
 from coraldeal.net.server_connection import Connection, Endpoint
-from coraldeal.net.unread import has_unread
+from coraldeal.net.unread import has_unread, unread_bytes
 from coraldeal.net.wire import (
     AttemptEnd,
     CallerRequest,
@@ -114,6 +114,7 @@
         # Connects that failed with an error of this machine, and the rate limit of their log lines.
         self.local_connect_failures = 0
         self.local_failure_throttle = LogThrottle()
+        self.surplus_throttle = LogThrottle()
         # Connections being opened, and open ones.
         self.connecting = 0
         self.open_connections = 0
@@ -173,6 +174,20 @@
         random_fraction = crc32(f"{connection.endpoint.address} {self.random_draws}".encode()) / 2**32
         return self.loop.time() - connection.created_at > self.max_age * (1 - random_fraction / 4)
 
+    def record_surplus(self, connection: Connection, size: int) -> None:
+        """Count and log a connection on which `size` bytes arrived that no request asked for."""
+        self.counters.surplus_closes += 1
+        now = self.loop.time()
+        if self.surplus_throttle.should_log(now):
+            idle_ms = round(1000 * (now - connection.idle_since)) if connection.idle_since else 0
+            pairs = {
+                "from": connection.endpoint.address,
+                "bytes": size,
+                "idle_ms": idle_ms,
+                "times": self.counters.surplus_closes,
+            }
+            log.warning("server sent bytes that no request asked for", extra={"pairs": pairs})
+
     @property
     def descriptors_in_use(self) -> int:
         """The number of descriptors in use by connections, idle or not."""
@@ -370,6 +385,8 @@
                     break
                 if has_unread(connection.transport):
                     # The server's close, or unrequested bytes, are in the socket and not read yet.
+                    if size := unread_bytes(connection.transport):
+                        self.record_surplus(connection, size)
                     connection.drop()
                     continue
                 connection.start_answer()
