Servers: bytes behind a chunked answer end its connection instead of waiting for a request

Cause: the end of a chunked body was left to the parser, so the node never knew that the answer was complete. Bytes behind it, on the idle connection, went into the same parser, and the next request got the message made of them.

Change: coraldeal/framing.py finds the last byte of a chunked body before the parser sees what follows. A byte on an idle connection ends it, and a connection whose answer was not seen to end is not used again. So the position does not depend on the parser, and where both disagree the connection is closed.

--- /dev/null
+++ b/coraldeal/framing.py
@@ -0,0 +1,136 @@
+"""Finds the end of a chunked answer in the bytes of its connection (RFC 9112, section 7.1).
+
+There is no I/O here: coraldeal/net/server_connection.py feeds it what was read. The content is left to the
+HTTP parser; only the position of the last byte is found here, before the parser sees the bytes behind it.
+"""
+
+from __future__ import annotations
+
+import re
+from enum import Enum, auto
+
+# The largest size of one chunk, in bytes, that the parser represents.
+MAX_CHUNK_BYTES = 2**64 - 1
+
+# The bytes that may follow the digits of a chunk's size.
+_BEHIND_SIZE = b"; \t\r\n"
+LINE_END = b"\r\n"
+_PLAIN_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})\r\n")
+_HEX_DIGITS = re.compile(rb"[0-9A-Fa-f]*")
+
+
+class _Part(Enum):
+    """The part of a chunked body that the next byte belongs to."""
+
+    SIZE = auto()
+    EXTENSION = auto()
+    DATA = auto()
+    DATA_END = auto()
+    TRAILER = auto()
+    END = auto()
+    INVALID = auto()
+
+
+class ChunkedBody:
+    """The position in a chunked body, from its first byte on.
+
+    A body that is not chunked as its head states has no known end: all bytes belong to it, and the parser
+    reports the error.
+    """
+
+    __slots__ = ("_bytes_left", "_has_digits", "_line_has_content", "_part", "_size")
+
+    def __init__(self) -> None:
+        self._part = _Part.SIZE
+        # The size of the next chunk as far as its digits have arrived, and whether any have.
+        self._size = 0
+        self._has_digits = False
+        # Bytes of the current chunk that are still to come.
+        self._bytes_left = 0
+        # Whether the current line of the trailer section has any content: an empty line ends the body.
+        self._line_has_content = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last byte of the body was measured."""
+        return self._part is _Part.END
+
+    def measure(self, data: bytes) -> int:
+        """Return how many of the next bytes belong to the body: at least one until it is complete."""
+        position = 0
+        while position < len(data) and self._part is not _Part.END:
+            match self._part:
+                case _Part.SIZE:
+                    position = self._measure_size(data, self._skip_whole_chunks(data, position))
+                case _Part.EXTENSION:
+                    position = self._measure_extension(data, position)
+                case _Part.DATA:
+                    position = self._measure_data(data, position)
+                case _Part.DATA_END:
+                    position = self._measure_data_end(data, position)
+                case _Part.TRAILER:
+                    position = self._measure_trailer(data, position)
+                case _:
+                    position = len(data)
+        return position
+
+    def _skip_whole_chunks(self, data: bytes, position: int) -> int:
+        """Return the position behind the plain chunks that arrived whole: one step each, if they are many."""
+        if self._has_digits:
+            return position
+        while line := _PLAIN_SIZE_LINE.match(data, position):
+            end = line.end() + int(line[1], 16) + len(LINE_END)
+            # The last chunk has no data, and the trailer section behind it.
+            if end == line.end() + len(LINE_END) or data[end - len(LINE_END) : end] != LINE_END:
+                break
+            position = end
+        return position
+
+    def _measure_size(self, data: bytes, position: int) -> int:
+        digits = _HEX_DIGITS.match(data, position)
+        assert digits is not None
+        if text := digits[0]:
+            self._size = (self._size << 4 * len(text)) + int(text, 16)
+            self._has_digits = True
+        if self._size > MAX_CHUNK_BYTES:
+            self._part = _Part.INVALID
+        elif digits.end() < len(data):
+            is_size = self._has_digits and data[digits.end()] in _BEHIND_SIZE
+            self._part = _Part.EXTENSION if is_size else _Part.INVALID
+        return digits.end()
+
+    def _measure_extension(self, data: bytes, position: int) -> int:
+        """Skip the rest of the line behind a chunk's size."""
+        line_end = data.find(b"\n", position)
+        if line_end < 0:
+            return len(data)
+        self._part = _Part.DATA if self._size else _Part.TRAILER
+        self._bytes_left, self._size, self._has_digits = self._size, 0, False
+        return line_end + 1
+
+    def _measure_data(self, data: bytes, position: int) -> int:
+        size = min(self._bytes_left, len(data) - position)
+        self._bytes_left -= size
+        if not self._bytes_left:
+            self._part = _Part.DATA_END
+        return position + size
+
+    def _measure_data_end(self, data: bytes, position: int) -> int:
+        """Skip the line end behind a chunk's data."""
+        if data[position] == ord("\n"):
+            self._part = _Part.SIZE
+        elif data[position] != ord("\r"):
+            self._part = _Part.INVALID
+        return position + 1
+
+    def _measure_trailer(self, data: bytes, position: int) -> int:
+        line_end = data.find(b"\n", position)
+        line = data[position:] if line_end < 0 else data[position:line_end]
+        if line.strip(b"\r"):
+            self._line_has_content = True
+        if line_end < 0:
+            return len(data)
+        if not self._line_has_content:
+            self._part = _Part.END
+        self._line_has_content = False
+        return line_end + 1
--- a/coraldeal/net/server_connection.py
+++ b/coraldeal/net/server_connection.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from coraldeal.framing import ChunkedBody
 from coraldeal.heads import HEAD_END
 from coraldeal.net.bodies import MIN_READ_BYTES, limit_read_size
 
@@ -37,8 +38,10 @@
         """Take the connection out of the pool and reset its state for the next answer."""
         self._leave_idle(closed=False)
         self.head_seen = False
-        # Bytes of the body still expected; None: the length is unknown, the parser detects the end.
+        # Bytes of the body still expected; None: no length is stated.
         self.body_left: int | None = None
+        # Finds the end of a chunked body. Without it and a length, the connection's end is the body's.
+        self.chunked_body: ChunkedBody | None = None
         # The end of what was received of an incomplete head: HEAD_END may have begun there.
         self.last_bytes = b""
         self.is_complete = False
@@ -98,7 +101,9 @@
             length = message.headers.get("Content-Length")
             if payload.is_eof():
                 self.body_left = 0
-            elif length is not None and not message.chunked:
+            elif message.chunked:
+                self.chunked_body = ChunkedBody()
+            elif length is not None:
                 self.body_left = int(length)
 
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
@@ -112,8 +117,11 @@
         if not data:
             # An empty call makes the parser continue with the data it held back while reading was paused.
             super().data_received(data)
-        while data and not self.is_complete:
-            if self.head_seen:
+        # A byte of an idle connection belongs to no answer: nothing was asked for.
+        while data and not self.is_complete and not self.idle_since:
+            if self.chunked_body is not None:
+                end = self.chunked_body.measure(data)
+            elif self.head_seen:
                 end = len(data) if self.body_left is None else self.body_left
             else:
                 # Pass on one head at a time: interim responses may precede the final one.
@@ -125,7 +133,8 @@
             super().data_received(piece)
             if was_body and self.body_left is not None:
                 self.body_left -= len(piece)
-            self.is_complete = self.body_left == 0
+            has_end = self.chunked_body is not None and self.chunked_body.is_complete
+            self.is_complete = self.body_left == 0 or has_end
         if data:
             self._handle_surplus(len(data))
 
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -508,6 +508,7 @@
         elif (
             has_answer
             and connection.endpoint.is_listed
+            and connection.is_complete
             and not (connection.has_surplus or connection.should_close or self._is_too_old(connection))
         ):
             connection.set_idle()
