Servers: an answer is measured part by part, so that a copy behind it can't loop without end

Cause: the count of a body's bytes was changed behind the parser, which may have set it to 0 in the same piece. A negative count takes no bytes off a read, and the loop over them never ends.

Change: Head, FixedBody, ChunkedBody and UnlimitedBody measure the next bytes before the parser gets them and take at least one until they are complete. An empty line ahead of a status line ends the connection behind that answer.

--- a/coraldeal/framing.py
+++ b/coraldeal/framing.py
@@ -1,7 +1,10 @@
-"""Finds the end of a chunked answer in the bytes of its connection (RFC 9112, section 7.1).
+"""Finds the end of a server's answer in the bytes of its connection (RFC 9112, sections 2.1, 6.3 and 7.1).
 
 There is no I/O here: coraldeal/net/server_connection.py feeds it what was read. The content is left to the
 HTTP parser; only the position of the last byte is found here, before the parser sees the bytes behind it.
+
+Each part of an answer measures the bytes that arrive for it: how many of them belong to it. As long as it is
+not complete, at least one of them does, so that a loop over the bytes ends.
 """
 
 from __future__ import annotations
@@ -15,10 +18,83 @@
 # The bytes that may follow the digits of a chunk's size.
 _BEHIND_SIZE = b"; \t\r\n"
 LINE_END = b"\r\n"
+# The parser takes a bare line feed for the end of a line of a head, too.
+_HEAD_END = re.compile(rb"\n\r?\n")
+MAX_HEAD_END_BYTES = 3
 _PLAIN_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})\r\n")
 _HEX_DIGITS = re.compile(rb"[0-9A-Fa-f]*")
 
 
+class Head:
+    """The position in the head of an answer, interim or final, which an empty line ends.
+
+    A head that the parser does not report when it is complete has no end: the parser reports the error.
+    """
+
+    __slots__ = ("_is_complete", "_last_bytes", "has_begun", "has_empty_line_ahead")
+
+    # The head of an answer is complete, but the answer is not.
+    is_complete = False
+
+    def __init__(self) -> None:
+        # The last bytes before the next ones: the head's end may have begun there.
+        self._last_bytes = b""
+        self._is_complete = False
+        # Whether the first byte of the status line has arrived.
+        self.has_begun = False
+        # Whether bytes of an empty line arrived before it, which belong to no answer.
+        self.has_empty_line_ahead = False
+
+    def measure(self, data: bytes) -> int:
+        """Return how many of the next bytes belong to the head, and to empty lines ahead of it."""
+        if self._is_complete:
+            return len(data)
+        start = 0
+        if not self.has_begun:
+            start = len(data) - len(data.lstrip(LINE_END))
+            self.has_empty_line_ahead = self.has_empty_line_ahead or start > 0
+            self.has_begun = start < len(data)
+        text = self._last_bytes + data[start:]
+        head_end = _HEAD_END.search(text)
+        if head_end is None:
+            self._last_bytes = text[1 - MAX_HEAD_END_BYTES :]
+            return len(data)
+        self._is_complete = True
+        return start + head_end.end() - len(self._last_bytes)
+
+
+class FixedBody:
+    """The position in a body of a known length."""
+
+    __slots__ = ("_bytes_left",)
+
+    def __init__(self, length: int) -> None:
+        self._bytes_left = length
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last byte of the body was measured."""
+        return not self._bytes_left
+
+    def measure(self, data: bytes) -> int:
+        """Return how many of the next bytes belong to the body."""
+        size = min(self._bytes_left, len(data))
+        self._bytes_left -= size
+        return size
+
+
+class UnlimitedBody:
+    """A body that only the end of its connection ends."""
+
+    __slots__ = ()
+
+    is_complete = False
+
+    def measure(self, data: bytes) -> int:
+        """Return how many of the next bytes belong to the body: all."""
+        return len(data)
+
+
 class _Part(Enum):
     """The part of a chunked body that the next byte belongs to."""
 
@@ -56,7 +132,7 @@
         return self._part is _Part.END
 
     def measure(self, data: bytes) -> int:
-        """Return how many of the next bytes belong to the body: at least one until it is complete."""
+        """Return how many of the next bytes belong to the body."""
         position = 0
         while position < len(data) and self._part is not _Part.END:
             match self._part:
--- a/coraldeal/net/server_connection.py
+++ b/coraldeal/net/server_connection.py
@@ -8,8 +8,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from coraldeal.framing import ChunkedBody
-from coraldeal.heads import HEAD_END
+from coraldeal.framing import LINE_END, ChunkedBody, FixedBody, Head, UnlimitedBody
 from coraldeal.net.bodies import MIN_READ_BYTES, limit_read_size
 
 if TYPE_CHECKING:
@@ -38,13 +37,8 @@
         """Take the connection out of the pool and reset its state for the next answer."""
         self._leave_idle(closed=False)
         self.head_seen = False
-        # Bytes of the body still expected; None: no length is stated.
-        self.body_left: int | None = None
-        # Finds the end of a chunked body. Without it and a length, the connection's end is the body's.
-        self.chunked_body: ChunkedBody | None = None
-        # The end of what was received of an incomplete head: HEAD_END may have begun there.
-        self.last_bytes = b""
-        self.is_complete = False
+        # The part of the answer that the next byte belongs to.
+        self.part: Head | FixedBody | ChunkedBody | UnlimitedBody = Head()
         # Whether bytes arrived behind the answer, which make the connection unusable.
         self.has_surplus = False
         if self.transport is not None:
@@ -52,7 +46,12 @@
 
     def has_begun_answer(self) -> bool:
         """Return whether bytes of the awaited answer have arrived, beside interim responses."""
-        return self.head_seen or bool(self.last_bytes)
+        return self.head_seen or (isinstance(self.part, Head) and self.part.has_begun)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last byte of the awaited answer has arrived."""
+        return self.part.is_complete
 
     def set_idle(self) -> None:
         """Return the connection to the pool, for the next attempt."""
@@ -92,19 +91,16 @@
         """Handle a parsed response head; called by the parser."""
         message, payload = data
         super().feed_data(data, size)
+        if isinstance(self.part, Head) and self.part.has_empty_line_ahead:
+            self._handle_surplus(len(LINE_END))
         if message.code < 200:
             # After an interim response, the final one may take its time: the stall timeout applies only
             # within an answer.
             self._drop_timeout()
+            self.part = Head()
         else:
             self.head_seen = True
-            length = message.headers.get("Content-Length")
-            if payload.is_eof():
-                self.body_left = 0
-            elif message.chunked:
-                self.chunked_body = ChunkedBody()
-            elif length is not None:
-                self.body_left = int(length)
+            self.part = _start_body(message, payload)
 
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
         """Report an error also to the reader of a body: aiohttp reports it only to the reader of a head."""
@@ -119,22 +115,10 @@
             super().data_received(data)
         # A byte of an idle connection belongs to no answer: nothing was asked for.
         while data and not self.is_complete and not self.idle_since:
-            if self.chunked_body is not None:
-                end = self.chunked_body.measure(data)
-            elif self.head_seen:
-                end = len(data) if self.body_left is None else self.body_left
-            else:
-                # Pass on one head at a time: interim responses may precede the final one.
-                position = (self.last_bytes + data).find(HEAD_END)
-                end = len(data) if position < 0 else position + len(HEAD_END) - len(self.last_bytes)
-                self.last_bytes = (self.last_bytes + data)[-3:] if position < 0 else b""
-            was_body = self.head_seen
-            piece, data = data[:end], data[end:]
+            # One head at a time, since interim responses may precede the final one.
+            size = self.part.measure(data)
+            piece, data = data[:size], data[size:]
             super().data_received(piece)
-            if was_body and self.body_left is not None:
-                self.body_left -= len(piece)
-            has_end = self.chunked_body is not None and self.chunked_body.is_complete
-            self.is_complete = self.body_left == 0 or has_end
         if data:
             self._handle_surplus(len(data))
 
@@ -147,6 +131,16 @@
             self.drop()
 
 
+def _start_body(message: Any, payload: Any) -> FixedBody | ChunkedBody | UnlimitedBody:
+    """Return where the body behind a final head ends, given the parser's reading of that head."""
+    if payload.is_eof():
+        return FixedBody(0)
+    if message.chunked:
+        return ChunkedBody()
+    length = message.headers.get("Content-Length")
+    return UnlimitedBody() if length is None else FixedBody(int(length))
+
+
 class Endpoint:
     """One process of a server: its address, its start, and the idle connections to it."""
 
--- a/tests/answer_forms.py
+++ b/tests/answer_forms.py
@@ -63,6 +63,11 @@
     AnswerForm("interim responses", _interim),
     DECLINED,
     AnswerForm("error", lambda body: _head(500, CHUNKED) + chunked(body), Outcome.ERROR, has_body=False),
+    AnswerForm("bare line feeds", lambda body: _length(body).replace(b"\r\n", b"\n")),
+    AnswerForm(
+        "bare line feeds, chunked",
+        lambda body: _head(200, CHUNKED).replace(b"\r\n", b"\n") + chunked(body, trailer=b"X: y\n"),
+    ),
     AnswerForm("204", lambda body: _head(204), Outcome.ERROR, has_body=False),
     AnswerForm("304", lambda body: _head(304, b"Content-Length: 9"), Outcome.ERROR, has_body=False),
     AnswerForm("HEAD, length", lambda body: _head(200, b"Content-Length: 9"), method=b"HEAD", has_body=False),
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from random import Random
 
-from coraldeal.framing import ChunkedBody
+from coraldeal.framing import ChunkedBody, FixedBody, Head
 from tests.answer_forms import SURPLUS, chunked
 
 
@@ -22,6 +23,36 @@
     return body, total
 
 
+class HeadTest(unittest.TestCase):
+    def test_end_of_a_head_is_found_however_it_is_cut(self) -> None:
+        # Guards against a part of a body that is passed to the parser uncounted, together with its head.
+        for head in (
+            b"HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+            b"HTTP/1.1 200 OK\nX: y\n\n",
+            b"HTTP/1.1 200 OK\r\nX: y\n\r\n",
+            b"\r\n\nHTTP/1.1 200 OK\r\n\r\n",
+        ):
+            for first, second in itertools.combinations(range(len(head) + 1), 2):
+                with self.subTest(head=head, first=first, second=second):
+                    part = Head()
+                    taken = [
+                        part.measure(piece)
+                        for piece in (head[:first], head[first:second], head[second:] + b"\r\n\r\nbody")
+                        if piece
+                    ]
+                    # A cut behind the head leaves the last piece to the parser.
+                    expected = len(head) + (8 if second == len(head) else 0)
+                    self.assertEqual(sum(taken), expected)
+                    self.assertEqual(part.has_empty_line_ahead, not head.startswith(b"HTTP"))
+
+
+class FixedBodyTest(unittest.TestCase):
+    def test_body_takes_its_length_and_nothing_more(self) -> None:
+        body = FixedBody(5)
+        self.assertEqual([body.measure(piece) for piece in (b"abc", b"defg", b"h")], [3, 2, 0])
+        self.assertTrue(body.is_complete)
+
+
 class ChunkedBodyTest(unittest.TestCase):
     def test_end_of_a_drawn_body_is_found_whatever_follows_it(self) -> None:
         # Guards against bytes behind a chunked answer reaching the parser as a part of it.
--- a/tests/test_surplus.py
+++ b/tests/test_surplus.py
@@ -7,6 +7,8 @@
 import unittest
 from unittest import mock
 
+from aiohttp.client_proto import ResponseHandler
+
 from coraldeal.interface import Condition, Entry, Outcome
 from coraldeal.net.counters import Counters
 from coraldeal.net.host import clock
@@ -22,6 +24,9 @@
 # Seconds after which an idle connection is reused.
 REUSE_SECONDS = SETTLE_TIME + 0.002
 
+# More calls of the parser than the few reads of one answer need.
+MOST_PARSER_CALLS = 1000
+
 
 class Pool:
     """A pool of connections to one stand-in, which answers each request with the request's id."""
@@ -149,6 +154,38 @@
         self.assertIs(end.outcome, Outcome.SERVED)
         self.assertEqual(end.answer and end.answer.body, b"recorded")
 
+    async def test_copy_in_the_read_that_ends_an_answer_does_not_keep_the_event_loop_busy(self) -> None:
+        # Guards against the endless loop of review/7: a count of the body's bytes became negative, and a
+        # negative end of the next piece used up none of the bytes.
+        body = bytes(60)
+        copy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: " + b"y" * 16 + b"\r\n\r\n"
+        self.assertEqual(len(copy), len(body) - 1)
+
+        async def play(seen: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            # The head and a part of the body are passed to the parser together.
+            writer.write(b"HTTP/1.1 200 OK\nContent-Length: 60\n\n" + body[:-1])
+            await asyncio.sleep(MOMENTS[1])
+            writer.write(body[-1:] + copy + bytes(100))
+
+        calls = 0
+        parse = ResponseHandler.data_received
+
+        def count(connection: ResponseHandler, data: bytes) -> None:
+            nonlocal calls
+            calls += 1
+            if calls > MOST_PARSER_CALLS:
+                raise RuntimeError("the bytes of one read are passed on without end")
+            parse(connection, data)
+
+        pool = Pool()
+        await pool.start(play)
+        self.addAsyncCleanup(pool.stop)
+        with mock.patch.object(ResponseHandler, "data_received", count):
+            _, end = await pool.attempt()
+        self.assertLessEqual(calls, MOST_PARSER_CALLS)
+        self.assertEqual(end.answer and end.answer.body, body)
+        self.assertEqual(pool.counters.surplus_closes, 1)
+
     async def test_sound_answers_of_any_form_share_one_connection(self) -> None:
         # Guards against a cure of surplus that costs sound servers a connection for each answer.
         faults = await asyncio.gather(*[find_cost_of_sound_answers(form) for form in FORMS])
