Servers: where parser and framing disagree on an answer's end, its connection is not reused

Cause: a trial drew mutated answers of all forms, cut at random, and compared the framing with the parser. The parser takes some malformed line ends (a trailer's CR CR LF, two line feeds behind a chunk's size) for the end of a line. A copy behind such an answer was queued as a message and not counted; an answer with a bare line feed behind a chunk's size was cut off at an end that the parser did not see, and waited for its time limit.

Change: a second message of one answer counts as surplus; a chunk's size ends with CR LF alone, and all bytes of a body that is not so go to the parser. Nothing of it was seen to reach a caller.

--- a/coraldeal/framing.py
+++ b/coraldeal/framing.py
@@ -114,13 +114,15 @@
     reports the error.
     """
 
-    __slots__ = ("_bytes_left", "_has_digits", "_line_has_content", "_part", "_size")
+    __slots__ = ("_bytes_left", "_has_digits", "_has_return", "_line_has_content", "_part", "_size")
 
     def __init__(self) -> None:
         self._part = _Part.SIZE
         # The size of the next chunk as far as its digits have arrived, and whether any have.
         self._size = 0
         self._has_digits = False
+        # Whether the bytes of the size's line so far end with a carriage return.
+        self._has_return = False
         # Bytes of the current chunk that are still to come.
         self._bytes_left = 0
         # Whether the current line of the trailer section has any content: an empty line ends the body.
@@ -178,8 +180,13 @@
     def _measure_extension(self, data: bytes, position: int) -> int:
         """Skip the rest of the line behind a chunk's size."""
         line_end = data.find(b"\n", position)
+        has_return, self._has_return = self._has_return, data.endswith(b"\r")
         if line_end < 0:
             return len(data)
+        # The parser takes no bare line feed here.
+        if not (has_return if line_end == position else data[line_end - 1] == ord("\r")):
+            self._part = _Part.INVALID
+            return len(data)
         self._part = _Part.DATA if self._size else _Part.TRAILER
         self._bytes_left, self._size, self._has_digits = self._size, 0, False
         return line_end + 1
--- a/coraldeal/net/server_connection.py
+++ b/coraldeal/net/server_connection.py
@@ -103,6 +103,10 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Handle a parsed response head; called by the parser."""
         message, payload = data
+        if self.head_seen:
+            # The framing of a malformed answer has no end, but the parser found one.
+            self.handle_surplus(0)
+            return
         super().feed_data(data, size)
         if isinstance(self.part, Head) and self.part.has_empty_line_ahead:
             self.handle_surplus(len(LINE_END))
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -87,6 +87,8 @@
             b"4\r\ngoodX\r\n0\r\n\r\n",
             b"f" * 17 + b"\r\n",
             b"-1\r\n",
+            b"4\ngood\r\n",
+            b"0;a\n\r\n",
         ):
             with self.subTest(data=data):
                 for cuts in ([], list(range(1, len(data)))):
--- a/tests/test_surplus.py
+++ b/tests/test_surplus.py
@@ -216,6 +216,22 @@
         await until(lambda: received == [b""])
         self.assertEqual(pool.counters.surplus_closes, 1)
 
+    async def test_copy_behind_an_answer_whose_end_only_the_parser_sees_ends_the_connection(self) -> None:
+        # The parser takes the trailer's line end for an empty line, too.
+        odd = b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n\r\n" + chunked(b"own", trailer=b"Z:\r")
+
+        async def play(seen: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(odd + RECORDED.encode(b"copy"))
+
+        pool = Pool()
+        await pool.start(play)
+        self.addAsyncCleanup(pool.stop)
+        for turn in (1, 2):
+            _, end = await pool.attempt()
+            self.assertEqual(end.answer and end.answer.body, b"own")
+            await until(lambda turn=turn: pool.server.closed == turn)  # type: ignore[misc]
+        self.assertEqual(pool.counters.surplus_closes, 2)
+
     async def test_late_copy_of_a_load_report_is_not_taken_for_the_answer_of_a_request(self) -> None:
         async def play(seen: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             if "req-id" in seen.fields:
