--- a/coraldeal/framing.py
+++ b/coraldeal/framing.py
@@ -14,13 +14,13 @@
 
 # The largest size of one chunk, in bytes, that the parser represents.
 MAX_CHUNK_BYTES = 2**64 - 1
+LINE_END = b"\r\n"
 
 # The bytes that may follow the digits of a chunk's size.
 _BEHIND_SIZE = b"; \t\r\n"
-LINE_END = b"\r\n"
 # The parser takes a bare line feed for the end of a line of a head, too.
 _HEAD_END = re.compile(rb"\n\r?\n")
-MAX_HEAD_END_BYTES = 3
+_MAX_HEAD_END_BYTES = 3
 _PLAIN_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})\r\n")
 _HEX_DIGITS = re.compile(rb"[0-9A-Fa-f]*")
 
@@ -57,7 +57,7 @@
         text = self._last_bytes + data[start:]
         head_end = _HEAD_END.search(text)
         if head_end is None:
-            self._last_bytes = text[1 - MAX_HEAD_END_BYTES :]
+            self._last_bytes = text[1 - _MAX_HEAD_END_BYTES :]
             return len(data)
         self._is_complete = True
         return start + head_end.end() - len(self._last_bytes)
--- a/coraldeal/net/answers.py
+++ b/coraldeal/net/answers.py
@@ -6,7 +6,7 @@
 import contextlib
 import math
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aiohttp
 
@@ -40,8 +40,15 @@
 # A buffered answer is held once as it was read and once as it is written.
 BUFFERED_ANSWER_COPIES = 2
 
-# Status, headers, raw headers, and the body: whole, or as a stream.
-RawAnswer = tuple[int, Mapping[str, str], RawHeaders, bytes, "AnswerStream | None"]
+
+class RawAnswer(NamedTuple):
+    """A server's answer as it was read, with its body whole or as a stream."""
+
+    status: int
+    fields: Mapping[str, str]
+    raw_fields: RawHeaders
+    body: bytes = b""
+    body_stream: AnswerStream | None = None
 
 
 class MalformedAnswerError(Exception):
@@ -200,15 +207,15 @@
             raise MalformedAnswerError("Content-Length exceeds the largest permitted body")
         if message.code != 200:
             await self._discard(payload)
-            return *head, b"", None
+            return RawAnswer(*head)
         if payload.is_eof():
-            return *head, payload.read_nowait(), None
+            return RawAnswer(*head, payload.read_nowait())
         # Before the attempt's time is extended.
         commit_by = self.commit_by()
         self.on_head()
         body, is_whole = await self._read_beginning(payload, announced_length, commit_by)
         if is_whole:
-            return *head, body, None
+            return RawAnswer(*head, body)
         if not self.is_reserved:
             self._reserve(announced_length, payload)
         stream = AnswerStream(
@@ -221,7 +228,7 @@
             self.is_reserved,
             self.is_fast,
         )
-        return *head, b"", stream
+        return RawAnswer(*head, body_stream=stream)
 
     async def _read_beginning(self, payload: Any, length: int | None, commit_by: float) -> tuple[bytes, bool]:
         """Read until a body is whole or has to be streamed; return what was read and whether it is whole."""
--- a/coraldeal/net/servers.py
+++ b/coraldeal/net/servers.py
@@ -325,7 +325,7 @@
         except (MalformedAnswerError, aiohttp.SocketTimeoutError, aiohttp.http.HttpProcessingError):
             outcome = Outcome.MALFORMED
         except TimeoutError:
-            if (is_fully_written or _is_body_sent(request)) and not _has_unwritten(connection):
+            if _may_have_run(is_fully_written, request, connection):
                 has_begun = connection is not None and connection.has_begun_answer()
                 outcome = Outcome.MALFORMED if has_begun else Outcome.TIMEOUT
         except LocalConnectError:
@@ -335,9 +335,7 @@
             # The attempt was cancelled, or its caller's body ended early.
             outcome = Outcome.CANCELLED
         except (OSError, aiohttp.ClientError):
-            # The attempt is proved not run only if its last byte was not written. The last byte of a streamed
-            # body may have been written before the task that forwards the body has ended.
-            if (is_fully_written or _is_body_sent(request)) and not _has_unwritten(connection):
+            if _may_have_run(is_fully_written, request, connection):
                 outcome = Outcome.RESET
                 if connection is not None and connection.idle_time and not connection.head_seen:
                     # The request most likely crossed the server's close of the idle connection.
@@ -535,9 +533,15 @@
         task.exception()
 
 
-def _is_body_sent(request: CallerRequest | None) -> bool:
-    """Return whether the last byte of a streamed body was passed to the server's connection."""
-    return request is not None and request.body_stream is not None and request.body_stream.is_sent
+def _may_have_run(
+    is_fully_written: bool, request: CallerRequest | None, connection: Connection | None
+) -> bool:
+    """Return whether an attempt's last byte was written to the socket: otherwise it is proved not run.
+
+    The last byte of a streamed body may have been written before the task that forwards the body has ended.
+    """
+    is_body_sent = request is not None and request.body_stream is not None and request.body_stream.is_sent
+    return (is_fully_written or is_body_sent) and not _has_unwritten(connection)
 
 
 def _has_unwritten(connection: Connection | None) -> bool:
