--- a/coraldeal/framing.py
+++ b/coraldeal/framing.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import re
-from enum import Enum, auto
+from collections.abc import Callable
 
 # The largest size of one chunk, in bytes, that the parser represents.
 MAX_CHUNK_BYTES = 2**64 - 1
@@ -95,18 +95,6 @@
         return len(data)
 
 
-class _Part(Enum):
-    """The part of a chunked body that the next byte belongs to."""
-
-    SIZE = auto()
-    EXTENSION = auto()
-    DATA = auto()
-    DATA_END = auto()
-    TRAILER = auto()
-    END = auto()
-    INVALID = auto()
-
-
 class ChunkedBody:
     """The position in a chunked body, from its first byte on.
 
@@ -114,10 +102,21 @@
     reports the error.
     """
 
-    __slots__ = ("_bytes_left", "_has_digits", "_has_return", "_line_has_content", "_part", "_size")
+    __slots__ = (
+        "_bytes_left",
+        "_has_digits",
+        "_has_return",
+        "_line_has_content",
+        "_measure_part",
+        "_size",
+        "is_complete",
+    )
 
     def __init__(self) -> None:
-        self._part = _Part.SIZE
+        # Whether the last byte of the body was measured.
+        self.is_complete = False
+        # The method that measures the part of the body which the next byte belongs to.
+        self._measure_part: Callable[[ChunkedBody, bytes, int], int] = ChunkedBody._measure_size
         # The size of the next chunk as far as its digits have arrived, and whether any have.
         self._size = 0
         self._has_digits = False
@@ -128,28 +127,11 @@
         # Whether the current line of the trailer section has any content: an empty line ends the body.
         self._line_has_content = False
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether the last byte of the body was measured."""
-        return self._part is _Part.END
-
     def measure(self, data: bytes) -> int:
         """Return how many of the next bytes belong to the body."""
         position = 0
-        while position < len(data) and self._part is not _Part.END:
-            match self._part:
-                case _Part.SIZE:
-                    position = self._measure_size(data, self._skip_whole_chunks(data, position))
-                case _Part.EXTENSION:
-                    position = self._measure_extension(data, position)
-                case _Part.DATA:
-                    position = self._measure_data(data, position)
-                case _Part.DATA_END:
-                    position = self._measure_data_end(data, position)
-                case _Part.TRAILER:
-                    position = self._measure_trailer(data, position)
-                case _:
-                    position = len(data)
+        while position < len(data) and not self.is_complete:
+            position = self._measure_part(self, data, position)
         return position
 
     def _skip_whole_chunks(self, data: bytes, position: int) -> int:
@@ -165,16 +147,17 @@
         return position
 
     def _measure_size(self, data: bytes, position: int) -> int:
+        position = self._skip_whole_chunks(data, position)
         digits = _HEX_DIGITS.match(data, position)
         assert digits is not None
         if text := digits[0]:
             self._size = (self._size << 4 * len(text)) + int(text, 16)
             self._has_digits = True
         if self._size > MAX_CHUNK_BYTES:
-            self._part = _Part.INVALID
+            self._measure_part = ChunkedBody._measure_invalid
         elif digits.end() < len(data):
             is_size = self._has_digits and data[digits.end()] in _BEHIND_SIZE
-            self._part = _Part.EXTENSION if is_size else _Part.INVALID
+            self._measure_part = ChunkedBody._measure_extension if is_size else ChunkedBody._measure_invalid
         return digits.end()
 
     def _measure_extension(self, data: bytes, position: int) -> int:
@@ -185,9 +168,9 @@
             return len(data)
         # The parser takes no bare line feed here.
         if not (has_return if line_end == position else data[line_end - 1] == ord("\r")):
-            self._part = _Part.INVALID
+            self._measure_part = ChunkedBody._measure_invalid
             return len(data)
-        self._part = _Part.DATA if self._size else _Part.TRAILER
+        self._measure_part = ChunkedBody._measure_data if self._size else ChunkedBody._measure_trailer
         self._bytes_left, self._size, self._has_digits = self._size, 0, False
         return line_end + 1
 
@@ -195,15 +178,18 @@
         size = min(self._bytes_left, len(data) - position)
         self._bytes_left -= size
         if not self._bytes_left:
-            self._part = _Part.DATA_END
+            self._measure_part = ChunkedBody._measure_data_end
         return position + size
 
     def _measure_data_end(self, data: bytes, position: int) -> int:
         """Skip the line end behind a chunk's data."""
+        if data.startswith(LINE_END, position):
+            self._measure_part = ChunkedBody._measure_size
+            return position + len(LINE_END)
         if data[position] == ord("\n"):
-            self._part = _Part.SIZE
+            self._measure_part = ChunkedBody._measure_size
         elif data[position] != ord("\r"):
-            self._part = _Part.INVALID
+            self._measure_part = ChunkedBody._measure_invalid
         return position + 1
 
     def _measure_trailer(self, data: bytes, position: int) -> int:
@@ -214,6 +200,10 @@
         if line_end < 0:
             return len(data)
         if not self._line_has_content:
-            self._part = _Part.END
+            self.is_complete = True
         self._line_has_content = False
         return line_end + 1
+
+    def _measure_invalid(self, data: bytes, position: int) -> int:
+        """Leave all bytes to the parser, which reports the error."""
+        return len(data)
