--- a/coraldeal/net/handover.py
+++ b/coraldeal/net/handover.py
@@ -59,6 +59,7 @@
                 for name, zone, cell, condition, started_at, address, *size_and_kind in stored["servers"]
             ]
             server_list = ServerList(int(stored["version"]), True, servers)
+            self._log_received_list(server_list)
             self.node.discovery.version = server_list.version
             self.node.apply_list(server_list, ListKind.REMEMBERED)
             resume(self.node.balancer, state["learned"])
@@ -67,6 +68,19 @@
         except (LookupError, TypeError, ValueError, AttributeError) as error:
             log.warning("begun without the elder's state", extra={"pairs": {"why": repr(error)}})
 
+    def _log_received_list(self, server_list: ServerList) -> None:
+        """Log the predecessor's list beside this process's own: which of them is newer, and who was told."""
+        discovery = self.node.discovery
+        pairs = {
+            "version": server_list.version,
+            "servers": len(server_list.servers),
+            "own_version": discovery.version,
+            "own_servers": len(self.node.balancer.listed),
+            "own_watch": discovery.watch is not None,
+            "calls": len(discovery.calls),
+        }
+        log.info("list of the predecessor", extra={"pairs": pairs})
+
     # Called by the handover link.
 
     def export_state(self) -> dict[str, Any]:
