Handover: a predecessor's list no longer replaces one that discovery told the successor

Cause: the successor's watch is opened before the predecessor's state arrives. NodeHandover._restore applied that state's list as a whole, whatever discovery had answered by then, and set the version of the next call back with it. The open watch tells later changes only, so the drain is never told again. The log of a broken run: version 43 answered at .890, the predecessor's 42 applied at .893, and the four draining servers are in use again. Excluded by the same log: a watch that fell silent again (it had answered), changes lost on the way (they were applied), sends of the old process. Where the predecessor came first, changes that continue the configured list were put over the predecessor's one, another list.

A list has an origin (the discovery that counts its versions), a version, and the time at which discovery last told it, all handed over in keys that earlier versions pass over. What discovery told a process goes before what another hands over, and that before the configured list; versions are compared within one origin only. The answer to an open call is applied to the list that the call continues. No call is added.

--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -11,6 +11,7 @@
 from coraldeal.list_calls import CallLimits, CallPlan
 from coraldeal.net.list_call import CallEnd, CallTimeouts, ListCall
 from coraldeal.net.wire import ServerList, list_url
+from coraldeal.precedence import NO_VERSION, ListStamp
 
 log = logging.getLogger(__name__)
 
@@ -92,8 +93,10 @@
         self.parse = parse
         self.on_list = on_list
         self.on_failure = on_failure
-        # The version of the current list, as counted by the current address; -1: a snapshot is requested.
-        self.version = -1
+        # The version that the next call continues from, as counted by the current address.
+        self.version = NO_VERSION
+        # Where the list in use is from.
+        self.stamp = ListStamp(self.origin)
         self.plan = CallPlan(call_limits(has_agent, bool(sources)), seed)
         # The calls and the watch at the current address by number, and those still open at former addresses.
         self.calls: dict[int, ListCall] = {}
@@ -114,6 +117,36 @@
         # The number of failed calls of this process, for operators.
         self.total_failed_calls = 0
 
+    @property
+    def origin(self) -> str:
+        """Return what counts the versions of the list: the current address, or all sources of one list."""
+        return self._origin_at(self.address)
+
+    def _origin_at(self, address: str | None) -> str:
+        addresses = sorted(self.sources) if self.sources else [address or "none"]
+        return " ".join([*addresses, *self.services])
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether a watch at the current address is open and has sent a list."""
+        return self.watch is not None and self.watch.has_list
+
+    def start_from(self, version: int) -> None:
+        """Continue from this version: the list in use is the one of the configuration."""
+        self.version = version
+        self.stamp = ListStamp(self.origin, version)
+
+    def list_handed_over(self, stamp: ListStamp, own_list: ServerList) -> None:
+        """Continue from the predecessor's list, which is in use now instead of this process's own one.
+
+        An open call was made to continue the own list, so the changes that answer it are applied to that one.
+        """
+        for call in [*self.calls.values(), *self.superseded.values()]:
+            if not call.has_list:
+                call.base = own_list
+        self.stamp = stamp
+        self.version = stamp.version
+
     def follow(self) -> None:
         """Watch the list from the current version, unless a watch or a call is open or scheduled."""
         if self.address is not None and not self.calls and self.next_call is None:
@@ -126,7 +159,7 @@
         addresses may be unrelated, so a snapshot is requested.
         """
         self.address = address
-        self.version = -1
+        self.version = NO_VERSION
         self.watch = None
         self.superseded |= self.calls
         self.calls = {}
@@ -199,13 +232,20 @@
 
     def list_received(self, call: ListCall, update: ServerList, is_older: bool) -> None:
         """Handle a snapshot or delta, from the current address or from a former one."""
+        version = NO_VERSION if is_older else update.version
         if call.number in self.calls:
-            self.version = -1 if is_older else update.version
+            self.version = version
             self.answer_received(call)
             self._log_answer(call, update)
             self.last_parse_error = ""
         elif call.number not in self.superseded:
             return
+        call.has_list = True
+        if call.base is not None:
+            update = call.base.updated_by(update)
+            call.base = None
+        now_us = int(asyncio.get_running_loop().time() * 1e6)
+        self.stamp = ListStamp(self._origin_at(call.address), version, now_us)
         self.on_list(update)
 
     def answer_received(self, call: ListCall) -> None:
@@ -226,7 +266,7 @@
         With several sources, only the changes are requested: another source's snapshot may be older.
         """
         if not self.sources and call.number in self.calls:
-            self.version = -1
+            self.version = NO_VERSION
 
     def call_ended(self, call: ListCall, end: CallEnd) -> None:
         """Handle the end of a call or watch that this node didn't cancel."""
@@ -314,7 +354,6 @@
         """Log the first list of a call, with the failures before it."""
         if call.has_list:
             return
-        call.has_list = True
         pairs = {**self._call_pairs(call), "whole": update.is_snapshot, "servers": len(update.servers)}
         if self.failed_calls:
             now = asyncio.get_running_loop().time()
--- a/coraldeal/net/handover.py
+++ b/coraldeal/net/handover.py
@@ -7,9 +7,10 @@
 
 from coraldeal.handover.link import HandoverLink
 from coraldeal.handover.state import learned, resume
-from coraldeal.interface import Condition, Entry, ListKind
+from coraldeal.interface import ListKind
+from coraldeal.net.handed_over_list import HandedOverList, encode_list, parse_list
 from coraldeal.net.host import clock
-from coraldeal.net.wire import ListEntry, ServerList
+from coraldeal.precedence import replaces_own_list
 
 if TYPE_CHECKING:
     from coraldeal.net.node import Node
@@ -17,11 +18,6 @@
 log = logging.getLogger(__name__)
 
 
-def _size_and_kind(size: Any = 1.0, kind: Any = "") -> tuple[float, str]:
-    """Return a server's size and kind; a predecessor of an earlier version sends neither."""
-    return float(size), str(kind)
-
-
 class NodeHandover:
     """Connects one node with its predecessor and its successors."""
 
@@ -43,41 +39,37 @@
 
     def _restore(self, state: dict[str, Any]) -> None:
         try:
-            stored = state["list"]
-            servers = [
-                ListEntry(
-                    Entry(
-                        str(name),
-                        str(zone),
-                        int(cell),
-                        Condition(condition),
-                        int(started_at),
-                        *_size_and_kind(*size_and_kind),
-                    ),
-                    str(address),
-                )
-                for name, zone, cell, condition, started_at, address, *size_and_kind in stored["servers"]
-            ]
-            server_list = ServerList(int(stored["version"]), True, servers)
-            self._log_received_list(server_list)
-            self.node.discovery.version = server_list.version
-            self.node.apply_list(server_list, ListKind.REMEMBERED)
+            self._take_over_list(parse_list(state["list"]))
             resume(self.node.balancer, state["learned"])
             # A predecessor of an earlier version sends none.
             self.node.inquiries.recent.restore(state.get("recent", []))
         except (LookupError, TypeError, ValueError, AttributeError) as error:
             log.warning("begun without the elder's state", extra={"pairs": {"why": repr(error)}})
 
-    def _log_received_list(self, server_list: ServerList) -> None:
+    def _take_over_list(self, handed_over: HandedOverList) -> None:
+        """Apply the predecessor's list if it takes precedence over the one that this process has by now."""
+        discovery = self.node.discovery
+        stamp = handed_over.stamp
+        is_applied = replaces_own_list(stamp, discovery.stamp, discovery.origin, discovery.is_watching)
+        self._log_lists(handed_over, is_applied)
+        if is_applied:
+            discovery.list_handed_over(stamp, self.node.current_list())
+            self.node.apply_list(handed_over.server_list, ListKind.REMEMBERED)
+
+    def _log_lists(self, handed_over: HandedOverList, is_applied: bool) -> None:
         """Log the predecessor's list beside this process's own: which of them is newer, and who was told."""
         discovery = self.node.discovery
+        own = discovery.stamp
         pairs = {
-            "version": server_list.version,
-            "servers": len(server_list.servers),
-            "own_version": discovery.version,
-            "own_servers": len(self.node.balancer.listed),
-            "own_watch": discovery.watch is not None,
+            "version": handed_over.stamp.version,
+            "origin": handed_over.stamp.origin,
+            "told": handed_over.stamp.is_told,
+            "own_version": own.version,
+            "own_origin": own.origin,
+            "own_told": own.is_told,
+            "watch": discovery.is_watching,
             "calls": len(discovery.calls),
+            "applied": is_applied,
         }
         log.info("list of the predecessor", extra={"pairs": pairs})
 
@@ -86,22 +78,9 @@
     def export_state(self) -> dict[str, Any]:
         """Return the server list and what the node has learned, as values that JSON can hold."""
         node = self.node
-        addresses = {name: target.address for name, target in node.servers.endpoints.items()}
-        servers = [
-            (
-                e.server,
-                e.zone,
-                e.cell,
-                e.condition.value,
-                e.started_at_us,
-                addresses[e.server],
-                e.size,
-                e.kind,
-            )
-            for e in node.balancer.listed.values()
-            if e.server in addresses
-        ]
-        stored_list = {"version": node.discovery.version, "servers": servers}
+        # The version is the one to continue from, which the list may have no more.
+        stamp = node.discovery.stamp._replace(version=node.discovery.version)
+        stored_list = encode_list(node.current_list(), stamp)
         recent = node.inquiries.recent.export()
         return {"list": stored_list, "learned": learned(node.balancer), "recent": recent}
 
--- a/coraldeal/net/list_call.py
+++ b/coraldeal/net/list_call.py
@@ -121,6 +121,8 @@
         self.started_at = self.loop.time()
         self.has_answer = False
         self.has_list = False
+        # The list that the call continues, if another one is in use by now; None: the list in use.
+        self.base: ServerList | None = None
         self.is_invalid = False
         self.task: asyncio.Task[None]
 
--- a/coraldeal/net/node.py
+++ b/coraldeal/net/node.py
@@ -186,7 +186,7 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGHUP))
         if self.config.known_list is not None:
             known_list = _parse_list(self.config.known_list)
-            self.discovery.version = known_list.version
+            self.discovery.start_from(known_list.version)
             self.apply_list(known_list, ListKind.REMEMBERED)
         if not self.config.settings.list_is_pulled:
             self.discovery.follow()
@@ -433,6 +433,16 @@
 
     # The server list.
 
+    def current_list(self) -> ServerList:
+        """Return the list in use as a snapshot, with start times by this node's clock."""
+        endpoints = self.servers.endpoints
+        servers = [
+            ListEntry(entry, endpoints[entry.server].address)
+            for entry in self.balancer.listed.values()
+            if entry.server in endpoints
+        ]
+        return ServerList(self.discovery.stamp.version, True, servers)
+
     def apply_list(self, update: ServerList, kind: ListKind | None = None) -> None:
         """Apply a snapshot or delta of the server list; `kind` overrides the kind that the update states."""
         self.has_list = True
--- a/coraldeal/net/wire.py
+++ b/coraldeal/net/wire.py
@@ -148,6 +148,18 @@
     # When each server started, in Unix milliseconds as in the list; 0: long ago.
     started_ms: Mapping[ServerId, int] = MappingProxyType({})
 
+    def updated_by(self, update: ServerList) -> ServerList:
+        """Return the snapshot that results from an update of this snapshot."""
+        if update.is_snapshot:
+            return update
+        servers = {listed.entry.server: listed for listed in [*self.servers, *update.servers]}
+        return ServerList(
+            update.version,
+            True,
+            [listed for listed in servers.values() if listed.entry.condition is not Condition.GONE],
+            {**self.started_ms, **update.started_ms},
+        )
+
 
 def _parse_duration_us(text: str) -> int:
     match = _DURATION.fullmatch(text)
