Handover: a version of the predecessor's discovery is not used at another discovery

Cause: calls continue the configured list, or the predecessor's version, whoever counted it. The other discovery answers with its own changes since that number, and those leave out servers whose state it had told before. The same after a SIGHUP that moves discovery while the state is on its way: the predecessor's version was used at the new address.

Change: a predecessor's state names the origin of its list. A list that the current discovery told the predecessor also ends the watches of a former one.

--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -11,7 +11,7 @@
 from coraldeal.list_calls import CallLimits, CallPlan
 from coraldeal.net.list_call import CallEnd, CallTimeouts, ListCall
 from coraldeal.net.wire import ServerList, list_url
-from coraldeal.precedence import NO_VERSION, ListStamp
+from coraldeal.precedence import NO_VERSION, UNKNOWN_ORIGIN, ListStamp
 
 log = logging.getLogger(__name__)
 
@@ -97,6 +97,8 @@
         self.version = NO_VERSION
         # Where the list in use is from.
         self.stamp = ListStamp(self.origin)
+        # Whether the current address has sent a snapshot.
+        self.has_snapshot = False
         self.plan = CallPlan(call_limits(has_agent, bool(sources)), seed)
         # The calls and the watch at the current address by number, and those still open at former addresses.
         self.calls: dict[int, ListCall] = {}
@@ -144,8 +146,30 @@
         for call in [*self.calls.values(), *self.superseded.values()]:
             if not call.has_list:
                 call.base = own_list
+        if stamp.origin == UNKNOWN_ORIGIN:
+            stamp = stamp._replace(origin=self.stamp.origin)
         self.stamp = stamp
-        self.version = stamp.version
+        self.version = stamp.version if stamp.origin == self.origin else NO_VERSION
+        if stamp.origin == self.origin:
+            # The current address has sent a list, through the predecessor.
+            self._cancel_superseded()
+
+    def require_snapshot(self) -> None:
+        """Have the current address send a snapshot, unless it has sent one.
+
+        The version that the calls continue turned out to be one of another origin, so the changes that answer
+        them may leave out any server.
+        """
+        if self.has_snapshot:
+            return
+        self.version = NO_VERSION
+        for call in self.calls.values():
+            call.requires_snapshot = True
+        if self.watch is not None and self.is_watching:
+            del self.calls[self.watch.number]
+            self.watch.cancel()
+            self.watch = None
+            self._start_call()
 
     def follow(self) -> None:
         """Watch the list from the current version, unless a watch or a call is open or scheduled."""
@@ -160,6 +184,7 @@
         """
         self.address = address
         self.version = NO_VERSION
+        self.has_snapshot = False
         self.watch = None
         self.superseded |= self.calls
         self.calls = {}
@@ -235,6 +260,7 @@
         version = NO_VERSION if is_older else update.version
         if call.number in self.calls:
             self.version = version
+            self.has_snapshot = self.has_snapshot or update.is_snapshot
             self.answer_received(call)
             self._log_answer(call, update)
             self.last_parse_error = ""
@@ -256,9 +282,15 @@
         self.plan.call_answered(call.number, asyncio.get_running_loop().time())
         self._schedule(None)
         del self.calls[call.number]
-        for other in [*self.calls.values(), *self.superseded.values()]:
+        for other in self.calls.values():
             other.cancel()
-        self.calls, self.superseded = {call.number: call}, {}
+        self.calls = {call.number: call}
+        self._cancel_superseded()
+
+    def _cancel_superseded(self) -> None:
+        for call in self.superseded.values():
+            call.cancel()
+        self.superseded = {}
 
     def invalid_received(self, call: ListCall) -> None:
         """Request a snapshot next, since changes may have been missed; the current list stays in use.
--- a/coraldeal/net/handover.py
+++ b/coraldeal/net/handover.py
@@ -10,7 +10,7 @@
 from coraldeal.interface import ListKind, ServerId
 from coraldeal.net.handed_over_list import HandedOverList, encode_list, parse_list
 from coraldeal.net.host import clock
-from coraldeal.precedence import replaces_own_list
+from coraldeal.precedence import UNKNOWN_ORIGIN, replaces_own_list
 
 if TYPE_CHECKING:
     from coraldeal.net.node import Node
@@ -60,6 +60,9 @@
             self.node.apply_list(handed_over.server_list, ListKind.REMEMBERED)
         else:
             self.node.apply_start_times(changed)
+        if stamp.origin not in (UNKNOWN_ORIGIN, discovery.origin):
+            # The configured list is one that the node had before, so its version is of that origin, too.
+            discovery.require_snapshot()
 
     def _servers_unchanged_since(self, handed_over: HandedOverList) -> list[ServerId]:
         """Return the servers that still are the processes that the predecessor knew."""
--- a/coraldeal/net/list_call.py
+++ b/coraldeal/net/list_call.py
@@ -123,6 +123,8 @@
         self.has_list = False
         # The list that the call continues, if another one is in use by now; None: the list in use.
         self.base: ServerList | None = None
+        # Whether changes can't be applied, since the call continues a version of another origin.
+        self.requires_snapshot = False
         self.is_invalid = False
         self.task: asyncio.Task[None]
 
@@ -188,6 +190,10 @@
         while text := self._parse(lambda _: next(completed_objects, b""), piece):
             count += 1
             update = self._parse(self.host.parse, text)
+            if self.requires_snapshot and not update.is_snapshot:
+                self.host.invalid_received(self)
+                raise aiohttp.ClientPayloadError("changes to the list of another origin")
+            self.requires_snapshot = False
             is_older = not update.is_snapshot and update.version < self.version
             self.version = update.version
             self.host.list_received(self, update, is_older)
--- a/tests/test_handed_over_lists.py
+++ b/tests/test_handed_over_lists.py
@@ -64,6 +64,11 @@
         for writer in self.watches:
             writer.close()
 
+    def tell(self, update: dict[str, Any]) -> None:
+        """Send an update on all watches that were answered."""
+        for writer in self.watches:
+            writer.write(chunked(json.dumps(update).encode()))
+
     async def _watch(
         self, request: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -232,23 +237,24 @@
     return values
 
 
+def receive(node: Node, values: dict[str, Any]) -> list[str]:
+    """Handle a predecessor's state with this list, and return the servers in use."""
+    assert node.handover is not None
+    state = {"list": values, "learned": learned(node.balancer), "recent": []}
+    node.handover._restore(json.loads(json.dumps(state)))
+    return [*node.balancer.servers]
+
+
 class StateOfAPredecessor(HandedOverListCase):
     """A process that discovery has told of version 5, in which s0 drains, and then a predecessor's state."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.listing = await self.discovery(lambda after: changes(5, s0="Terminating"))
+        self.listing = await self.discovery(lambda after: whole_list(5, s0="Terminating"))
         running = await self.enterAsyncContext(self.process(self.listing, whole_list(KNOWN_VERSION)))
         self.node = running.node
         await until(lambda: is_told(self.node))
 
-    def receive(self, values: dict[str, Any]) -> list[str]:
-        """Handle a state with this list, and return the servers in use."""
-        assert self.node.handover is not None
-        state = {"list": values, "learned": learned(self.node.balancer), "recent": []}
-        self.node.handover._restore(json.loads(json.dumps(state)))
-        return [*self.node.balancer.servers]
-
     async def end_watch(self) -> None:
         """End the watch, and let the next call wait for its answer."""
         self.listing.may_answer.clear()
@@ -268,7 +274,7 @@
             stored(-1, later, origin),
         ):
             with self.subTest(values):
-                self.assertEqual(self.receive(values), ["s1", "s2"])
+                self.assertEqual(receive(self.node, values), ["s1", "s2"])
                 self.assertEqual(self.node.discovery.version, 5)
 
     async def test_older_list_changes_neither_list_nor_version_when_the_watch_has_ended(self) -> None:
@@ -283,16 +289,89 @@
             stored(6, 0, None),
         ):
             with self.subTest(values):
-                self.assertEqual(self.receive(values), ["s1", "s2"])
+                self.assertEqual(receive(self.node, values), ["s1", "s2"])
                 self.assertEqual(self.node.discovery.version, 5)
 
     async def test_newer_list_that_was_told_later_is_used_when_the_watch_has_ended(self) -> None:
         await self.end_watch()
         values = stored(6, clock() + 1_000_000, self.node.discovery.origin, s1="Terminating")
-        self.assertEqual(self.receive(values), ["s0", "s2"])
+        self.assertEqual(receive(self.node, values), ["s0", "s2"])
         self.assertEqual(self.node.discovery.version, 6)
         # The call that is open continues version 5, in which s0 drains.
         self.listing.answer = lambda after: changes(7, s2="Terminating")
         self.listing.may_answer.set()
         await until(lambda: is_told(self.node))
         self.assertEqual([*self.node.balancer.servers], ["s1"])
+
+
+class AnotherDiscovery(HandedOverListCase):
+    """An upgrade whose new version is configured for another discovery, which counts versions on its own."""
+
+    async def check_both_orders(self, answer: ListAnswer, asked_after: list[int | None]) -> None:
+        """Check that s2 alone is used, and which calls the other discovery got, whoever answers first."""
+        for told_first in (True, False):
+            with self.subTest(told_first=told_first):
+                async with self.upgrade(
+                    told_first, lambda after: changes(9, s1="Terminating"), answer, moves=True
+                ) as upgrade:
+                    await until(lambda: [*upgrade.successor.balancer.servers] == ["s2"])
+                    self.assertEqual(upgrade.successor.discovery.version, 50)
+                    self.assertEqual(upgrade.discovery.asked_after, asked_after)
+                    # Changes that follow apply to the snapshot.
+                    upgrade.discovery.tell(changes(51, s0="Ready"))
+                    await until(lambda: "s0" in upgrade.successor.balancer.servers)
+
+    async def test_whole_list_of_the_other_discovery_is_used(self) -> None:
+        await self.check_both_orders(
+            lambda after: whole_list(50, s0="Terminating", s1="Terminating"), [KNOWN_VERSION]
+        )
+
+    async def test_changes_of_the_other_discovery_are_not_applied_and_a_whole_list_is_requested(self) -> None:
+        await self.check_both_orders(
+            lambda after: changes(50, s0="Terminating")
+            if after is not None
+            else whole_list(50, s0="Terminating", s1="Terminating"),
+            [KNOWN_VERSION, None],
+        )
+
+    async def test_version_of_the_predecessors_discovery_is_not_used_after_a_reload(
+        self,
+    ) -> None:
+        first = await self.discovery(lambda after: changes(9, s1="Terminating"))
+        predecessor = await self.enterAsyncContext(self.process(first, whole_list(KNOWN_VERSION)))
+        await until(lambda: is_told(predecessor.node))
+        second = await self.discovery(
+            lambda after: changes(50) if after is not None else whole_list(50, s0="Terminating")
+        )
+        first.may_answer.clear()
+        second.may_answer.clear()
+        successor = self.process(first, whole_list(KNOWN_VERSION))
+        starting = asyncio.create_task(self.enterAsyncContext(successor))
+        await self.state_point.reached.wait()
+        # As SIGHUP does, while the state is on its way.
+        successor.node.discovery.change_address(second.address)
+        self.state_point.go.set()
+        await starting
+        self.assertEqual([*successor.node.balancer.servers], ["s0", "s2"])
+        second.may_answer.set()
+        await until(lambda: is_told(successor.node))
+        self.assertEqual([*successor.node.balancer.servers], ["s1", "s2"])
+        self.assertEqual(dict.fromkeys(second.asked_after), {None: None})
+
+    async def test_list_that_the_new_discovery_told_the_predecessor_is_used(
+        self,
+    ) -> None:
+        first = await self.discovery(lambda after: changes(5, s0="Terminating"))
+        running = await self.enterAsyncContext(self.process(first, whole_list(KNOWN_VERSION)))
+        node = running.node
+        await until(lambda: is_told(node))
+        second = await self.discovery(lambda after: changes(51, s2="Terminating"))
+        second.may_answer.clear()
+        node.discovery.change_address(second.address)
+        values = stored(50, clock(), node.discovery.origin, s1="Terminating")
+        self.assertEqual(receive(node, values), ["s0", "s2"])
+        self.assertEqual((node.discovery.version, node.discovery.superseded), (50, {}))
+        # What the former discovery tells from now on is not applied.
+        first.tell(changes(6, s1="Ready", s2="Terminating"))
+        await asyncio.sleep(0.05)
+        self.assertEqual([*node.balancer.servers], ["s0", "s2"])
