Handover: a part of a state that can't be read no longer drops the other parts

Seen in a test, by reading for the same cause on related paths: figures that this version can't read (a list or a learned figure of another version of the program) also dropped the maintenance of servers and the remembered ids, so that servers in maintenance get requests and ids that must not run twice may run again.

Cause: NodeHandover._restore applied the parts one after another within one try; the first that failed ended it, and maintenance was read within resume(), behind the figures.

Change: each part is taken over on its own, and the log line names the part. Maintenance is merged with what this process has. The case of test_an_invalid_state_changes_nothing that gave resume() an invalid left_out is replaced by three for resume_maintenance, with the same demands (an error, and nothing changed).

Measured: the new test failed before the change for two of three parts (list, learned: maintenance {} in place of s0).

--- a/coraldeal/handover/state.py
+++ b/coraldeal/handover/state.py
@@ -93,8 +93,13 @@
         for key, attribute in keys.items()
         if key in values
     ]
-    in_maintenance = {str(server): int(since) for server, since in state["left_out"].items()}
     for target, attribute, number in numbers:
         setattr(target, attribute, number)
-    balancer.in_maintenance = in_maintenance
+    balancer.update_servers()
+
+
+def resume_maintenance(balancer: Balancer, state: dict[str, Any]) -> None:
+    """Continue the maintenance of servers that the predecessor has in maintenance; raises as `resume`."""
+    in_maintenance = {str(server): int(since) for server, since in state["left_out"].items()}
+    balancer.in_maintenance = {**in_maintenance, **balancer.in_maintenance}
     balancer.update_servers()
--- a/coraldeal/net/handover.py
+++ b/coraldeal/net/handover.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from coraldeal.handover.link import HandoverLink
-from coraldeal.handover.state import learned, resume
+from coraldeal.handover.state import learned, resume, resume_maintenance
 from coraldeal.interface import ListKind, ServerId
 from coraldeal.net.handed_over_list import HandedOverList, encode_list, parse_list
 from coraldeal.net.host import clock
@@ -38,17 +38,22 @@
         await self.node.callers.listen(config.host, config.port, listening, shared=True)
 
     def _restore(self, state: dict[str, Any]) -> None:
-        try:
-            handed_over = parse_list(state["list"])
-            self._take_over_list(handed_over)
-            resume(self.node.balancer, state["learned"], self._servers_unchanged_since(handed_over))
-            # A predecessor of an earlier version sends none.
-            self.node.inquiries.recent.restore(state.get("recent", []))
-        except (LookupError, TypeError, ValueError, AttributeError) as error:
-            log.warning("begun without the elder's state", extra={"pairs": {"why": repr(error)}})
-
-    def _take_over_list(self, handed_over: HandedOverList) -> None:
+        """Take over each part of the state that can be read; the others don't suffer from one that can't."""
+        for part, take_over in (
+            ("list", self._take_over_list),
+            ("learned", self._take_over_learned),
+            ("maintenance", self._take_over_maintenance),
+            ("recent", self._take_over_recent),
+        ):
+            try:
+                take_over(state)
+            except (LookupError, TypeError, ValueError, AttributeError) as error:
+                pairs = {"part": part, "why": repr(error)}
+                log.warning("begun without the elder's state", extra={"pairs": pairs})
+
+    def _take_over_list(self, state: dict[str, Any]) -> None:
         """Apply the predecessor's list if it takes precedence over the one that this process has by now."""
+        handed_over = parse_list(state["list"])
         discovery = self.node.discovery
         stamp = handed_over.stamp
         is_applied = replaces_own_list(stamp, discovery.stamp, discovery.origin, discovery.is_watching)
@@ -64,6 +69,17 @@
             # The configured list is one that the node had before, so its version is of that origin, too.
             discovery.require_snapshot()
 
+    def _take_over_learned(self, state: dict[str, Any]) -> None:
+        servers = self._servers_unchanged_since(parse_list(state["list"]))
+        resume(self.node.balancer, state["learned"], servers)
+
+    def _take_over_maintenance(self, state: dict[str, Any]) -> None:
+        resume_maintenance(self.node.balancer, state["learned"])
+
+    def _take_over_recent(self, state: dict[str, Any]) -> None:
+        # A predecessor of an earlier version sends none.
+        self.node.inquiries.recent.restore(state.get("recent", []))
+
     def _servers_unchanged_since(self, handed_over: HandedOverList) -> list[ServerId]:
         """Return the servers that still are the processes that the predecessor knew."""
         listed = self.node.balancer.listed
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,7 +18,7 @@
 
 from coraldeal.handover import link as link_module
 from coraldeal.handover.ownership import Ownership
-from coraldeal.handover.state import learned, resume
+from coraldeal.handover.state import learned, resume, resume_maintenance
 from tests.standins import Caller, until
 from tests.two_processes import TwoProcessesCase
 
@@ -191,7 +191,6 @@
         for invalid in (
             {"node": {"rate": None}},
             {"servers": {"s0": {"cap": "many"}}},
-            {"left_out": ["s0"]},
             {"tracks": 7},
         ):
             with (
@@ -200,6 +199,13 @@
             ):
                 resume(balancer, {**json.loads(before), **invalid}, balancer.servers)
             self.assertEqual(json.dumps(learned(balancer)), before)
+        for invalid_maintenance in ({"left_out": ["s0"]}, {"left_out": {"s0": "long"}}, {}):
+            with (
+                self.subTest(invalid_maintenance),
+                self.assertRaises((LookupError, TypeError, ValueError, AttributeError)),
+            ):
+                resume_maintenance(balancer, invalid_maintenance)
+            self.assertEqual(json.dumps(learned(balancer)), before)
         resume(balancer, {**json.loads(before), "node": {"unknown": 1}, "new": 2}, balancer.servers)
         self.assertEqual(json.dumps(learned(balancer)), before)
 
@@ -218,6 +224,26 @@
         handover._restore(state)
         self.assertEqual((balancer.listed[name].size, balancer.listed[name].kind), (1.0, ""))
 
+    async def test_a_part_that_cannot_be_read_does_not_drop_the_other_parts(self) -> None:
+        # Guards against ids and maintenance that are lost with figures of another program version.
+        node = (await self.start()).node
+        assert node.handover is not None
+        whole = json.loads(json.dumps(node.handover.export_state()))
+        invalid_parts: dict[str, Any] = {
+            "list": {},
+            "learned": {**whole["learned"], "node": {"rate": None}, "left_out": {"s0": 5}},
+            "recent": [7],
+        }
+        for part, invalid in invalid_parts.items():
+            with self.subTest(part=part):
+                node.balancer.in_maintenance = {}
+                state = {**whole, "learned": {**whole["learned"], "left_out": {"s0": 5}}}
+                state |= {"recent": [[part, 6]], part: invalid}
+                with self.assertLogs("coraldeal.net.handover", "WARNING"):
+                    node.handover._restore(state)
+                self.assertEqual(node.balancer.in_maintenance, {"s0": 5})
+                self.assertEqual(part in node.inquiries.recent, part != "recent")
+
     def test_a_path_too_long_for_a_socket_address_is_bound(self) -> None:
         deep = Path(self.folder) / ("d" * 90) / ("e" * 90)
         deep.mkdir(parents=True)
