Handover: an id that both processes remember is remembered until the later time

By reading: RecentRequests.restore put the predecessor's time in place of this process's own, so an id could be forgotten earlier than 30 s after it was last sent to a server.

Change: the later of the two times counts. The new test failed before the change (forgotten at the earlier time).

--- a/coraldeal/repeats.py
+++ b/coraldeal/repeats.py
@@ -48,12 +48,11 @@
         return list(self.forget_at.items())
 
     def restore(self, exported: list[tuple[str, int]]) -> None:
-        """Add what another process has exported; both share the clock."""
+        """Add what another process has exported; both share the clock, and the later time counts."""
         for digest, forget_at in sorted(exported, key=lambda item: item[1]):
             self._insert(str(digest), int(forget_at))
 
     def _insert(self, digest: str, forget_at: int) -> None:
-        self.forget_at.pop(digest, None)
-        self.forget_at[digest] = forget_at
+        self.forget_at[digest] = max(self.forget_at.pop(digest, 0), forget_at)
         if len(self.forget_at) > MAX_IDS:
             self.forget_at.popitem(last=False)
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import unittest
 
 from coraldeal.net.node import Node
+from coraldeal.repeats import RETENTION_US, RecentRequests
 from tests.standins import Caller, LateConnects, Message, NodeCase, RunningNode, StandIn, answer, until
 from tests.two_processes import TwoProcessesCase
 
@@ -124,3 +126,13 @@
         send(first, "c1")
         self.assertEqual((await first.answer())[0], 409)
         self.assertEqual(runs(self.server, "c1"), 1)
+
+
+class RestoredIds(unittest.TestCase):
+    def test_id_that_both_processes_know_is_remembered_until_the_later_time(self) -> None:
+        for own, handed_over in ((10, 4), (4, 10)):
+            recent = RecentRequests()
+            recent.add("ab", own)
+            recent.restore([("ab", handed_over + RETENTION_US)])
+            recent.forget_old(9 + RETENTION_US)
+            self.assertTrue("ab" in recent)
