--- a/coraldeal/net/admin_interface.py
+++ b/coraldeal/net/admin_interface.py
@@ -40,10 +40,10 @@
         shortages = 0 if listener is None else listener.shortages
         discovery = node.discovery
         list_calls = {}
-        if discovery.total_failed_calls:
+        if discovery.call_log.total_failures:
             list_calls = {
                 "list_calls": discovery.total_calls,
-                "list_calls_failed": discovery.total_failed_calls,
+                "list_calls_failed": discovery.call_log.total_failures,
             }
         return {
             **message_counts,
--- a/coraldeal/net/discovery.py
+++ b/coraldeal/net/discovery.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable, Sequence
 from typing import Any
 from zlib import crc32
 
 from coraldeal.list_calls import CallLimits, CallPlan
+from coraldeal.net.call_log import CallLog
 from coraldeal.net.list_call import CallEnd, CallTimeouts, ListCall
 from coraldeal.net.wire import ServerList, list_url
 from coraldeal.precedence import NO_VERSION, UNKNOWN_ORIGIN, ListStamp
 
-log = logging.getLogger(__name__)
-
 # Seconds without data after which a watch counts as dead: discovery sends a line every 2 s. A change that a
 # silent watch has missed must take effect within 6 s of the watch's last data, and any change within 6 s of
 # the time at which discovery has it and is reachable, whatever failed before. docs/endings.md has the
@@ -40,9 +38,6 @@
 SUPERSEDED_CALL_TIME = 0.1
 # How many calls and watches at former addresses stay open until the new address has sent a list.
 MAX_SUPERSEDED = 4
-# How many failed calls in a row are each logged, and the interval in seconds of the log lines after that.
-MAX_FAILURES_LOGGED = 20
-FAILURE_LOG_INTERVAL = 5.0
 # All followers of a relay lose it at the same moment, so each continues at another one after a random
 # fraction of this many seconds.
 MAX_SOURCE_SWITCH_DELAY = 0.5
@@ -110,14 +105,7 @@
         self.next_call: asyncio.TimerHandle | None = None
         # How many sources have failed in a row.
         self.failed_sources = 0
-        # Calls failed since a list was last received, since when, and when the last of them was logged.
-        self.failed_calls = 0
-        self.failing_since = 0.0
-        self.failure_logged_at = 0.0
-        # The last parse error: the same error again isn't logged.
-        self.last_parse_error = ""
-        # The number of failed calls of this process, for operators.
-        self.total_failed_calls = 0
+        self.call_log = CallLog()
 
     @property
     def origin(self) -> str:
@@ -244,13 +232,18 @@
         if at is not None and not self.sources:
             self.next_call = asyncio.get_running_loop().call_at(at, self._start_extra_call)
 
+    def _others_out(self, call: ListCall) -> int:
+        """Return how many calls and watches are open besides this one."""
+        return len(self.calls) + len(self.superseded) - (call.number in self.calls)
+
     def _start_extra_call(self) -> None:
         """Make the scheduled call; if too many calls are in flight, cancel the one that hangs longest."""
         self.next_call = None
         hung_call = self.plan.make_room(asyncio.get_running_loop().time())
         if hung_call is not None:
-            self._count_failure(self.calls[hung_call], "it hung")
-            self.calls.pop(hung_call).cancel()
+            call = self.calls.pop(hung_call)
+            self.call_log.failed(call, "it hung", self._others_out(call))
+            call.cancel()
         self._start_call()
 
     # Notifications from calls.
@@ -262,8 +255,7 @@
             self.version = version
             self.has_snapshot = self.has_snapshot or update.is_snapshot
             self.answer_received(call)
-            self._log_answer(call, update)
-            self.last_parse_error = ""
+            self.call_log.answered(call, update, self._others_out(call))
         elif call.number not in self.superseded:
             return
         call.has_list = True
@@ -303,13 +295,16 @@
     def call_ended(self, call: ListCall, end: CallEnd) -> None:
         """Handle the end of a call or watch that this node didn't cancel."""
         if self.superseded.pop(call.number, None) is not None:
-            self._log("superseded call over", call, end.reason)
+            self.call_log.ended("superseded call over", call, end.reason, self._others_out(call))
             return
         if call.number not in self.calls:
             # The call ended just as it was cancelled.
             return
-        self._log_end(call, end)
         del self.calls[call.number]
+        if self.watch is call:
+            self.call_log.ended("watch over", call, end.reason, self._others_out(call))
+        else:
+            self.call_log.failed(call, end.reason, self._others_out(call))
         now = asyncio.get_running_loop().time()
         if self.watch is call:
             self.watch = None
@@ -340,55 +335,3 @@
         else:
             self.failed_sources = 0
             self.on_failure()
-
-    # Logging.
-
-    def _count_failure(self, call: ListCall, reason: str) -> None:
-        """Count a failed call and log it: each of the first in a row, then one per FAILURE_LOG_INTERVAL."""
-        now = asyncio.get_running_loop().time()
-        if not self.failed_calls:
-            self.failing_since = call.started_at
-        self.failed_calls += 1
-        self.total_failed_calls += 1
-        is_repeated = call.is_invalid and reason == self.last_parse_error
-        may_log = (
-            self.failed_calls <= MAX_FAILURES_LOGGED or now - self.failure_logged_at >= FAILURE_LOG_INTERVAL
-        )
-        if may_log and not is_repeated:
-            self.failure_logged_at = now
-        level = logging.INFO if may_log and not is_repeated else logging.DEBUG
-        self.last_parse_error = reason if call.is_invalid else ""
-        self._log("list call failed", call, reason, level)
-
-    def _log_end(self, call: ListCall, end: CallEnd) -> None:
-        if self.watch is call:
-            self._log("watch over", call, end.reason)
-        else:
-            self._count_failure(call, end.reason)
-
-    def _log(self, event: str, call: ListCall, reason: str, level: int = logging.INFO) -> None:
-        log.log(level, event, extra={"pairs": {"why": reason, **self._call_pairs(call)}})
-
-    def _call_pairs(self, call: ListCall) -> dict[str, object]:
-        """Return the pairs that describe a call in log lines, with the number of other open calls."""
-        duration = asyncio.get_running_loop().time() - call.started_at
-        other_calls = len(self.calls) + len(self.superseded) - (call.number in self.calls)
-        return {
-            "call": call.number,
-            "address": call.address,
-            "version": call.version,
-            "call_ms": int(duration * 1000),
-            "others_out": other_calls,
-            "failed_calls": self.failed_calls,
-        }
-
-    def _log_answer(self, call: ListCall, update: ServerList) -> None:
-        """Log the first list of a call, with the failures before it."""
-        if call.has_list:
-            return
-        pairs = {**self._call_pairs(call), "whole": update.is_snapshot, "servers": len(update.servers)}
-        if self.failed_calls:
-            now = asyncio.get_running_loop().time()
-            pairs["without_list_ms"] = int((now - self.failing_since) * 1000)
-        self.failed_calls = 0
-        log.info("list answered", extra={"pairs": pairs})
