Tests of the handover wait until the predecessor listens for a successor

By reading: the predecessor may be told of its list before it listens on its Unix socket; the successor then starts alone, and the test waits without a limit for a state. Now it waits for that socket, and each wait has a limit.

--- a/tests/test_handed_over_lists.py
+++ b/tests/test_handed_over_lists.py
@@ -96,6 +96,11 @@
     return node.discovery.watch is not None and node.discovery.watch.has_list
 
 
+def may_be_succeeded(node: Node) -> bool:
+    """Return whether a process is told, and listens for a successor."""
+    return is_told(node) and node.handover is not None and node.handover.link.listening is not None
+
+
 class HandedOverListCase(TwoProcessesCase):
     """A predecessor whose list may be old, and a successor beside it."""
 
@@ -148,7 +153,7 @@
             predecessor = await stack.enter_async_context(
                 self.process(discovery, whole_list(KNOWN_VERSION), **options)
             )
-            await until(lambda: is_told(predecessor.node))
+            await until(lambda: may_be_succeeded(predecessor.node))
             change(predecessor.node)
             if moves:
                 discovery = await self.discovery(answer)
@@ -157,7 +162,7 @@
             discovery.may_answer.clear()
             successor = self.process(discovery, known or whole_list(KNOWN_VERSION), **options)
             starting = asyncio.create_task(stack.enter_async_context(successor))
-            await self.state_point.reached.wait()
+            await until(self.state_point.reached.is_set)
             if told_first:
                 discovery.may_answer.set()
                 await until(lambda: is_told(successor.node))
@@ -219,7 +224,7 @@
     async def test_list_of_higher_version_is_used_until_discovery_answers(self) -> None:
         discovery = await self.discovery(lambda after: changes(6, s0="Terminating"))
         predecessor = await self.enterAsyncContext(self.process(discovery, whole_list(KNOWN_VERSION)))
-        await until(lambda: is_told(predecessor.node))
+        await until(lambda: may_be_succeeded(predecessor.node))
         discovery.may_answer.clear()
         self.state_point.go.set()
         for known_version, usable in ((KNOWN_VERSION, ["s1", "s2"]), (7, ["s0", "s1", "s2"])):
@@ -339,7 +344,7 @@
     ) -> None:
         first = await self.discovery(lambda after: changes(9, s1="Terminating"))
         predecessor = await self.enterAsyncContext(self.process(first, whole_list(KNOWN_VERSION)))
-        await until(lambda: is_told(predecessor.node))
+        await until(lambda: may_be_succeeded(predecessor.node))
         second = await self.discovery(
             lambda after: changes(50) if after is not None else whole_list(50, s0="Terminating")
         )
@@ -347,7 +352,7 @@
         second.may_answer.clear()
         successor = self.process(first, whole_list(KNOWN_VERSION))
         starting = asyncio.create_task(self.enterAsyncContext(successor))
-        await self.state_point.reached.wait()
+        await until(self.state_point.reached.is_set)
         # As SIGHUP does, while the state is on its way.
         successor.node.discovery.change_address(second.address)
         self.state_point.go.set()
