--- a/coraldeal/precedence.py
+++ b/coraldeal/precedence.py
@@ -21,13 +21,13 @@
     # The discovery, or the set of sources, that counts the versions.
     origin: str
     version: int = NO_VERSION
-    # When that origin last sent this process a list or changes, in microseconds of the system's monotonic
-    # clock; 0: it never did, so that the list is one of the configuration or of another process.
+    # When that origin sent the list or its last changes to a process of this node, in microseconds of the
+    # system's monotonic clock; 0: it never did, so that the list is one of a configuration.
     told_at_us: int = 0
 
     @property
     def is_told(self) -> bool:
-        """Whether discovery itself sent the list to the process that has it."""
+        """Whether discovery itself sent the list to a process of this node."""
         return self.told_at_us > 0
 
 
