Handover: a configured list of another origin doesn't replace the own configured one

By reading, for the same cause: a predecessor that no discovery ever told, with a configured list of another origin, replaced the successor's own configured list. Neither is confirmed, so the process's own configuration counts.

Change: of two lists of different origins, the predecessor's is taken where discovery told it, or where this process has none.

--- a/coraldeal/net/handover.py
+++ b/coraldeal/net/handover.py
@@ -24,6 +24,8 @@
     def __init__(self, node: Node, folder: str) -> None:
         self.node = node
         config = node.config
+        # The servers that still are the processes that the predecessor knew.
+        self.unchanged_servers: list[ServerId] = []
         self.link = HandoverLink(self, folder, f"{config.name} {config.host}:{config.port}")
         node.inquiries.notify_started = self.link.notify_request_started
 
@@ -68,10 +70,10 @@
         if stamp.origin not in (UNKNOWN_ORIGIN, discovery.origin):
             # The configured list is one that the node had before, so its version is of that origin, too.
             discovery.require_snapshot()
+        self.unchanged_servers = self._servers_unchanged_since(handed_over)
 
     def _take_over_learned(self, state: dict[str, Any]) -> None:
-        servers = self._servers_unchanged_since(parse_list(state["list"]))
-        resume(self.node.balancer, state["learned"], servers)
+        resume(self.node.balancer, state["learned"], self.unchanged_servers)
 
     def _take_over_maintenance(self, state: dict[str, Any]) -> None:
         resume_maintenance(self.node.balancer, state["learned"])
--- a/coraldeal/precedence.py
+++ b/coraldeal/precedence.py
@@ -40,7 +40,9 @@
     if handed_over.origin == UNKNOWN_ORIGIN:
         handed_over = handed_over._replace(origin=own.origin)
     if handed_over.origin != own.origin:
-        return not own.is_told or (handed_over.is_told and handed_over.origin == origin)
+        if own.is_told:
+            return handed_over.is_told and handed_over.origin == origin
+        return handed_over.is_told or own.version == NO_VERSION
     if own.is_told:
         return (
             not is_watching
--- a/tests/test_handed_over_lists.py
+++ b/tests/test_handed_over_lists.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import unittest
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, replace
@@ -22,7 +23,7 @@
 from coraldeal.net.host import clock
 from coraldeal.net.node import Node
 from coraldeal.net.wire import parse_server_list
-from coraldeal.precedence import ListStamp
+from coraldeal.precedence import ListStamp, replaces_own_list
 from tests.standins import CHUNKED_HEAD, Message, Point, RunningNode, StandIn, chunked, config, entry, until
 from tests.two_processes import TwoProcessesCase
 
@@ -250,6 +251,38 @@
                     self.assertEqual([*successor.node.balancer.servers], usable)
 
 
+class Precedence(unittest.TestCase):
+    """Whether a predecessor's list replaces the own one of a process that follows origin `a`."""
+
+    def test_list_that_was_told_goes_before_one_of_a_configuration(self) -> None:
+        for handed_over, own, expected in (
+            # Neither was told: the version decides, or the process's own configuration.
+            (ListStamp("a", 4), ListStamp("a", 4), True),
+            (ListStamp("a", 3), ListStamp("a", 4), False),
+            (ListStamp("a", -1), ListStamp("a", 4), True),
+            (ListStamp("b", 9), ListStamp("a", 4), False),
+            (ListStamp("b", 9), ListStamp("a", -1), True),
+            # One was told.
+            (ListStamp("b", 3, 1), ListStamp("a", 4), True),
+            (ListStamp("a", 9), ListStamp("a", 4, 1), False),
+            (ListStamp("", 9), ListStamp("a", 4, 1), False),
+            (ListStamp("", 4), ListStamp("a", 4), True),
+            # Both were told.
+            (ListStamp("a", 5, 2), ListStamp("a", 4, 1), True),
+            (ListStamp("a", 4, 2), ListStamp("a", 4, 1), False),
+            (ListStamp("a", 5, 1), ListStamp("a", 4, 2), False),
+            (ListStamp("a", 5, 2), ListStamp("a", -1, 1), False),
+            (ListStamp("b", 5, 2), ListStamp("a", 4, 1), False),
+            # The own list is of the origin before the last reload.
+            (ListStamp("a", 5, 1), ListStamp("b", 4, 2), True),
+            (ListStamp("c", 5, 2), ListStamp("b", 4, 1), False),
+        ):
+            with self.subTest(handed_over=handed_over, own=own):
+                self.assertEqual(replaces_own_list(handed_over, own, "a", is_watching=False), expected)
+                if own.is_told and own.origin == "a":
+                    self.assertFalse(replaces_own_list(handed_over, own, "a", is_watching=True))
+
+
 def stored(version: int, told_at_us: int, origin: str | None, **lifecycles: str) -> dict[str, Any]:
     """Return the list of a predecessor; without an origin it is of an earlier program version."""
     stored_list = parse_server_list(whole_list(version, **lifecycles), 0)
