--- a/tests/test_handed_over_lists.py
+++ b/tests/test_handed_over_lists.py
@@ -106,14 +106,11 @@
     successor: Node
 
 
-def is_told(node: Node) -> bool:
-    """Return whether a process has a watch that has sent a list."""
-    return node.discovery.watch is not None and node.discovery.watch.has_list
-
-
 def may_be_succeeded(node: Node) -> bool:
     """Return whether a process is told, and listens for a successor."""
-    return is_told(node) and node.handover is not None and node.handover.link.listening is not None
+    return (
+        node.discovery.is_watching and node.handover is not None and node.handover.link.listening is not None
+    )
 
 
 class HandedOverListCase(TwoProcessesCase):
@@ -180,11 +177,11 @@
             await until(self.state_point.reached.is_set)
             if told_first:
                 discovery.may_answer.set()
-                await until(lambda: is_told(successor.node))
+                await until(lambda: successor.node.discovery.is_watching)
             self.state_point.go.set()
             await starting
             discovery.may_answer.set()
-            await until(lambda: is_told(successor.node))
+            await until(lambda: successor.node.discovery.is_watching)
             yield Upgrade(discovery, predecessor.node, successor.node)
 
 
@@ -308,7 +305,7 @@
         self.listing = await self.discovery(lambda after: whole_list(5, s0="Terminating"))
         running = await self.enterAsyncContext(self.process(self.listing, whole_list(KNOWN_VERSION)))
         self.node = running.node
-        await until(lambda: is_told(self.node))
+        await until(lambda: self.node.discovery.is_watching)
 
     async def end_watch(self) -> None:
         """End the watch, and let the next call wait for its answer."""
@@ -355,7 +352,7 @@
         # The call that is open continues version 5, in which s0 drains.
         self.listing.answer = lambda after: changes(7, s2="Terminating")
         self.listing.may_answer.set()
-        await until(lambda: is_told(self.node))
+        await until(lambda: self.node.discovery.is_watching)
         self.assertEqual([*self.node.balancer.servers], ["s1"])
 
 
@@ -409,7 +406,7 @@
         await starting
         self.assertEqual([*successor.node.balancer.servers], ["s0", "s2"])
         second.may_answer.set()
-        await until(lambda: is_told(successor.node))
+        await until(lambda: successor.node.discovery.is_watching)
         self.assertEqual([*successor.node.balancer.servers], ["s1", "s2"])
         self.assertEqual(dict.fromkeys(second.asked_after), {None: None})
 
@@ -419,7 +416,7 @@
         first = await self.discovery(lambda after: changes(5, s0="Terminating"))
         running = await self.enterAsyncContext(self.process(first, whole_list(KNOWN_VERSION)))
         node = running.node
-        await until(lambda: is_told(node))
+        await until(lambda: node.discovery.is_watching)
         second = await self.discovery(lambda after: changes(51, s2="Terminating"))
         second.may_answer.clear()
         node.discovery.change_address(second.address)
